--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Module.
+ */
+package io.jaywick.cli;
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions without I/O.
+ */
+package io.jaywick.core;
