Add the schema generator, the shared core types and the command runner

Cause: the modules need the same records, messages and command interface. Conclusion: the components can be written side by side.

--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -0,0 +1,23 @@
+package io.jaywick.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+
+/** Entry point of the operators' command line. */
+public final class CommandLineMain {
+
+    private CommandLineMain() {}
+
+    public static void main(String[] args) {
+        System.exit(run(args, System.out, System.err));
+    }
+
+    /** Runs one command and returns the exit status. */
+    public static int run(String[] args, PrintStream out, PrintStream err) {
+        return new CommandRunner(commands(), out, err).run(args);
+    }
+
+    private static List<Command> commands() {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/snapshot/DataCentre.java
@@ -0,0 +1,8 @@
+package io.jaywick.core.snapshot;
+
+/**
+ * A data centre of the table.
+ *
+ * @param in false when operators took it out of service
+ */
+public record DataCentre(String name, String region, boolean in) {}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/ContentHash.java
@@ -0,0 +1,30 @@
+package io.jaywick.core.table;
+
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * SHA-256 over the canonical content of a table.
+ *
+ * @param hex 64 lower-case hexadecimal digits
+ */
+public record ContentHash(String hex) {
+
+    private static final int PREFIX_DIGITS = 12;
+
+    /** Hashes canonical bytes. */
+    public static ContentHash of(byte[] canonicalBytes) {
+        try {
+            return new ContentHash(HexFormat.of()
+                    .formatHex(MessageDigest.getInstance("SHA-256").digest(canonicalBytes)));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java runtime has SHA-256", e);
+        }
+    }
+
+    /** Leading digits for people and metrics. */
+    public String prefix() {
+        return hex.substring(0, Math.min(PREFIX_DIGITS, hex.length()));
+    }
+}
--- /dev/null
+++ b/jaywick-schema/src/main/java/io/jaywick/schema/MessageGenerator.java
@@ -0,0 +1,124 @@
+package io.jaywick.schema;
+
+import javax.lang.model.element.Modifier;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.palantir.javapoet.ArrayTypeName;
+import com.palantir.javapoet.ClassName;
+import com.palantir.javapoet.CodeBlock;
+import com.palantir.javapoet.FieldSpec;
+import com.palantir.javapoet.JavaFile;
+import com.palantir.javapoet.MethodSpec;
+import com.palantir.javapoet.ParameterSpec;
+import com.palantir.javapoet.ParameterizedTypeName;
+import com.palantir.javapoet.TypeName;
+import com.palantir.javapoet.TypeSpec;
+
+/** Makes one record per table of {@code messages.toml} and the {@code Message} interface over those that travel alone. */
+final class MessageGenerator {
+
+    private static final String PACKAGE = "io.jaywick.core.message";
+    private static final ClassName MESSAGE = ClassName.get(PACKAGE, "Message");
+
+    private final JsonNode schema;
+
+    MessageGenerator(JsonNode schema) {
+        this.schema = schema;
+    }
+
+    List<JavaFile> files() {
+        List<JavaFile> files = new ArrayList<>();
+        List<ClassName> messages = new ArrayList<>();
+        for (Map.Entry<String, JsonNode> entry : schema.properties()) {
+            boolean message = entry.getValue().path("message").asBoolean(false);
+            if (message) {
+                messages.add(ClassName.get(PACKAGE, entry.getKey()));
+            }
+            files.add(file(record(entry.getKey(), entry.getValue(), message)));
+        }
+        files.add(file(messageInterface(messages)));
+        return files;
+    }
+
+    private TypeSpec record(String name, JsonNode definition, boolean message) {
+        MethodSpec.Builder constructor = MethodSpec.constructorBuilder();
+        for (JsonNode field : definition.path("fields")) {
+            String[] parts = field.asText().split(" ");
+            if (parts.length != 2) {
+                throw new SchemaException("field '" + field.asText() + "' of " + name + " is not 'type name'");
+            }
+            constructor.addParameter(
+                    ParameterSpec.builder(typeOf(parts[0]), parts[1]).build());
+        }
+        TypeSpec.Builder type = TypeSpec.recordBuilder(name)
+                .addModifiers(Modifier.PUBLIC)
+                .addJavadoc("$L\n", definition.path("doc").asText())
+                .recordConstructor(constructor.build());
+        if (message) {
+            type.addSuperinterface(MESSAGE);
+        }
+        return type.build();
+    }
+
+    private TypeSpec messageInterface(List<ClassName> messages) {
+        ClassName type = ClassName.get(Class.class);
+        TypeName types = ParameterizedTypeName.get(
+                ClassName.get(Map.class),
+                ClassName.get(String.class),
+                ParameterizedTypeName.get(type, com.palantir.javapoet.WildcardTypeName.subtypeOf(MESSAGE)));
+        CodeBlock.Builder entries = CodeBlock.builder().add("$T.ofEntries(", Map.class);
+        for (int i = 0; i < messages.size(); i++) {
+            entries.add(i == 0 ? "\n" : ",\n");
+            entries.add("$T.entry($S, $T.class)", Map.class, messages.get(i).simpleName(), messages.get(i));
+        }
+        entries.add(")");
+        return TypeSpec.interfaceBuilder("Message")
+                .addModifiers(Modifier.PUBLIC, Modifier.SEALED)
+                .addJavadoc("A message between nodes. Generated from messages.toml.\n")
+                .addPermittedSubclasses(messages)
+                .addField(FieldSpec.builder(types, "TYPES", Modifier.PUBLIC, Modifier.STATIC, Modifier.FINAL)
+                        .addJavadoc("Record classes by the type name on the wire.\n")
+                        .initializer(entries.build())
+                        .build())
+                .build();
+    }
+
+    static TypeName typeOf(String name) {
+        if (name.startsWith("list<")) {
+            return ParameterizedTypeName.get(
+                    ClassName.get(List.class), typeOf(argument(name)).box());
+        }
+        if (name.startsWith("map<")) {
+            return ParameterizedTypeName.get(
+                    ClassName.get(Map.class),
+                    ClassName.get(String.class),
+                    typeOf(argument(name)).box());
+        }
+        return switch (name) {
+            case "string" -> ClassName.get(String.class);
+            case "int" -> TypeName.INT;
+            case "long" -> TypeName.LONG;
+            case "double" -> TypeName.DOUBLE;
+            case "boolean" -> TypeName.BOOLEAN;
+            case "bytes" -> ArrayTypeName.of(TypeName.BYTE);
+            default -> {
+                if (!Character.isUpperCase(name.charAt(0))) {
+                    throw new SchemaException("unknown type " + name);
+                }
+                yield ClassName.get(PACKAGE, name);
+            }
+        };
+    }
+
+    private static String argument(String name) {
+        return name.substring(name.indexOf('<') + 1, name.length() - 1);
+    }
+
+    private static JavaFile file(TypeSpec type) {
+        return JavaFile.builder(PACKAGE, type).indent("    ").build();
+    }
+}
--- /dev/null
+++ b/jaywick-schema/src/test/java/io/jaywick/schema/SchemaGeneratorTestCase.java
@@ -0,0 +1,34 @@
+package io.jaywick.schema;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+class SchemaGeneratorTestCase {
+
+    private static final Path COMMITTED = Path.of("..", "jaywick-core", "src", "generated", "java");
+
+    /** Guards against records that were edited by hand or not generated again after a schema change. */
+    @Test
+    void committedRecordsEqualTheSchema() throws IOException {
+        for (Map.Entry<String, String> file : SchemaGenerator.generate().entrySet()) {
+            assertThat(file.getKey(), Files.readString(COMMITTED.resolve(file.getKey())), equalTo(file.getValue()));
+        }
+    }
+
+    /** Guards against a committed record whose definition was removed from the schema. */
+    @Test
+    void everyCommittedRecordIsInTheSchema() throws IOException {
+        try (Stream<Path> paths = Files.walk(COMMITTED)) {
+            long committed = paths.filter(Files::isRegularFile).count();
+            assertThat(committed, equalTo((long) SchemaGenerator.generate().size()));
+        }
+    }
+}
