--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandRunner.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandRunner.java
@@ -59,10 +59,8 @@
                 printHelp(command, options);
                 return OK;
             }
-            CommandLine line = DefaultParser.builder()
-                    .setAllowPartialMatching(false)
-                    .build()
-                    .parse(options, args);
+            CommandLine line =
+                    DefaultParser.builder().setAllowPartialMatching(false).get().parse(options, args);
             return command.run(line, out, err);
         } catch (ParseException | UsageException e) {
             err.println(PROGRAM + " " + command.name() + ": " + e.getMessage());
