Add frames and peer links over TCP

Nodes need one bounded way to talk. The frame codec checks length, version and the MessagePack structure before it decodes, because the MessagePack reader allocates any length that a header states. A link holds one connection per peer with a bounded queue of its own, so that a stuck peer delays no other, and backs off with full jitter after a failed connect.

A node greets in its newest version and a Hello of the next version is accepted: with a range of two versions, no single version byte is accepted by both neighbours of a version.

--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/frame/MessagePackBounds.java
@@ -0,0 +1,92 @@
+package io.jaywick.node.frame;
+
+/**
+ * Checks that one MessagePack value fills a byte range exactly and is not nested too deeply. The MessagePack reader
+ * allocates whatever length a header states, so a header of a few bytes could otherwise claim gigabytes.
+ */
+final class MessagePackBounds {
+
+    private static final int MAX_DEPTH = 16;
+
+    private final byte[] bytes;
+    private final int end;
+    private int position;
+
+    private MessagePackBounds(byte[] bytes, int start, int end) {
+        this.bytes = bytes;
+        this.position = start;
+        this.end = end;
+    }
+
+    static boolean isValid(byte[] bytes, int start, int end) {
+        MessagePackBounds bounds = new MessagePackBounds(bytes, start, end);
+        return bounds.value(0) && bounds.position == end;
+    }
+
+    private boolean value(int depth) {
+        if (depth > MAX_DEPTH || position >= end) {
+            return false;
+        }
+        int header = bytes[position++] & 0xff;
+        if (header < 0x80 || header >= 0xe0) {
+            return true;
+        }
+        if (header < 0x90) {
+            return values(2L * (header & 0x0f), depth);
+        }
+        if (header < 0xa0) {
+            return values(header & 0x0f, depth);
+        }
+        if (header < 0xc0) {
+            return skip(header & 0x1f);
+        }
+        return switch (header) {
+            case 0xc0, 0xc2, 0xc3 -> true;
+            case 0xc4, 0xd9 -> skip(length(1));
+            case 0xc5, 0xda -> skip(length(2));
+            case 0xc6, 0xdb -> skip(length(4));
+            case 0xcc, 0xd0 -> skip(1);
+            case 0xcd, 0xd1 -> skip(2);
+            case 0xca, 0xce, 0xd2 -> skip(4);
+            case 0xcb, 0xcf, 0xd3 -> skip(8);
+            case 0xdc -> values(length(2), depth);
+            case 0xdd -> values(length(4), depth);
+            case 0xde -> values(2 * length(2), depth);
+            case 0xdf -> values(2 * length(4), depth);
+                // Extension types and the unused code 0xc1 occur in no message.
+            default -> false;
+        };
+    }
+
+    private boolean values(long count, int depth) {
+        // Every value takes at least one byte, which bounds the loop by the frame length.
+        if (count < 0 || count > end - position) {
+            return false;
+        }
+        for (long i = 0; i < count; i++) {
+            if (!value(depth + 1)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean skip(long count) {
+        if (count < 0 || count > end - position) {
+            return false;
+        }
+        position += (int) count;
+        return true;
+    }
+
+    private long length(int size) {
+        if (end - position < size) {
+            return Long.MIN_VALUE / 4;
+        }
+        long result = 0;
+        for (int i = 0; i < size; i++) {
+            result = result << 8 | bytes[position++] & 0xff;
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerTraffic.java
@@ -0,0 +1,36 @@
+package io.jaywick.node.peer;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Bytes and frames that one node exchanged with its peers, without TCP and IP headers. */
+public final class PeerTraffic {
+
+    private final LongAdder sentBytes = new LongAdder();
+    private final LongAdder receivedBytes = new LongAdder();
+    private final LongAdder rejectedFrames = new LongAdder();
+
+    void sent(long bytes) {
+        sentBytes.add(bytes);
+    }
+
+    void received(long bytes) {
+        receivedBytes.add(bytes);
+    }
+
+    void rejected() {
+        rejectedFrames.increment();
+    }
+
+    public long sentBytes() {
+        return sentBytes.sum();
+    }
+
+    public long receivedBytes() {
+        return receivedBytes.sum();
+    }
+
+    /** Frames that could not be decoded. */
+    public long rejectedFrames() {
+        return rejectedFrames.sum();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/TcpPeerLink.java
@@ -0,0 +1,121 @@
+package io.jaywick.node.peer;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.distribution.Backoff;
+import io.jaywick.core.message.Hello;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.node.frame.FrameCodec;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * Sends messages over one TCP connection per peer, opened at first use and closed when idle. Each connection has its
+ * own bounded queue, so that a slow peer delays no other. After a failed connection attempt requests to that peer
+ * fail at once until its backoff time has passed.
+ */
+public final class TcpPeerLink implements PeerLink, AutoCloseable {
+
+    private static final int MAX_TRACKED_FAILURES = 4_096;
+
+    private final Map<String, PeerConnection> connections = new ConcurrentHashMap<>();
+    private final Map<String, Failure> failures = new ConcurrentHashMap<>();
+    private final FrameCodec codec;
+    private final PeerTraffic traffic;
+    private final LinkLimits limits;
+    private final LoopResources loops;
+    private final Supplier<PeerEntry> self;
+    private final RandomGenerator random;
+    private volatile boolean closed;
+
+    /**
+     * Makes a link without connections.
+     *
+     * @param self identity that the first message of each connection carries
+     * @param random jitter of the backoff; used by several threads
+     */
+    public TcpPeerLink(
+            FrameCodec codec,
+            PeerTraffic traffic,
+            LinkLimits limits,
+            LoopResources loops,
+            Supplier<PeerEntry> self,
+            RandomGenerator random) {
+        this.codec = codec;
+        this.traffic = traffic;
+        this.limits = limits;
+        this.loops = loops;
+        this.self = self;
+        this.random = random;
+    }
+
+    @Override
+    public CompletableFuture<Message> request(String peerAddress, Message message) {
+        if (closed) {
+            return failed(PeerException.Kind.UNREACHABLE, "the link is closed");
+        }
+        PeerConnection connection = connections.get(peerAddress);
+        CompletableFuture<Message> reply = connection == null ? null : connection.request(message);
+        if (reply != null) {
+            return reply;
+        }
+        Failure failure = failures.get(peerAddress);
+        if (failure != null && System.nanoTime() - failure.untilNanos < 0) {
+            return failed(PeerException.Kind.UNREACHABLE, peerAddress + " is in its backoff time");
+        }
+        connection = connections.computeIfAbsent(peerAddress, this::open);
+        reply = connection.request(message);
+        connection.start();
+        return reply == null ? failed(PeerException.Kind.DISCONNECTED, "connection to " + peerAddress) : reply;
+    }
+
+    /** Number of open connections. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    private PeerConnection open(String address) {
+        Hello hello = new Hello(codec.minVersion(), codec.maxVersion(), self.get());
+        return new PeerConnection(address, codec, traffic, limits, loops, hello, this::closed);
+    }
+
+    private void closed(PeerConnection connection, boolean wasOpen) {
+        connections.remove(connection.address(), connection);
+        if (wasOpen) {
+            failures.remove(connection.address());
+            return;
+        }
+        if (failures.size() >= MAX_TRACKED_FAILURES) {
+            failures.clear();
+        }
+        failures.compute(connection.address(), (address, known) -> {
+            Failure failure = known == null ? new Failure(new Backoff(random)) : known;
+            failure.untilNanos = System.nanoTime() + failure.backoff.nextMillis() * 1_000_000;
+            return failure;
+        });
+    }
+
+    private static CompletableFuture<Message> failed(PeerException.Kind kind, String message) {
+        return CompletableFuture.failedFuture(new PeerException(kind, message));
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        connections.values().forEach(PeerConnection::close);
+    }
+
+    private static final class Failure {
+        private final Backoff backoff;
+        private volatile long untilNanos;
+
+        Failure(Backoff backoff) {
+            this.backoff = backoff;
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The configuration service and the instance list.
+ */
+package io.jaywick.node.source;
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/frame/FrameCodecTestCase.java
@@ -0,0 +1,149 @@
+package io.jaywick.node.frame;
+
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jaywick.core.message.DeltaReply;
+import io.jaywick.core.message.Digest;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.message.RowChange;
+import io.jaywick.core.message.UpToDate;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class FrameCodecTestCase {
+
+    private static final PeerEntry PEER =
+            new PeerEntry("s1", "dc1", "r1", "svc", "127.0.0.1:1", "127.0.0.1:2", 7, 100, false);
+    private static final Digest DIGEST = new Digest("s1", 5, "ab", List.of(PEER), List.of());
+
+    private final FrameCodec codec = new FrameCodec();
+
+    @Test
+    void messageSurvivesEncodingAndDecoding() {
+        Frame frame = codec.decode(payload(codec.encode(FrameCodec.CURRENT, 9, DIGEST)));
+        assertThat(frame, is(new Frame(FrameCodec.CURRENT, 9, DIGEST)));
+    }
+
+    @Test
+    void rowChangeWithoutRowStaysWithoutRow() {
+        DeltaReply delta = new DeltaReply(1, "a", 2, "b", List.of(new RowChange("routes", "k", "")));
+        assertThat(codec.decode(payload(codec.encode(2, 1, delta))).message(), is(delta));
+    }
+
+    @Test
+    void fieldOfNextVersionIsSkippedAndMissingFieldIsEmpty() throws Exception {
+        byte[] frame = envelope(2, "Digest", Map.of("from", "s1", "revision", 5, "hash", "ab", "later", List.of(1, 2)));
+        Digest digest = (Digest) codec.decode(frame).message();
+        assertThat(digest.revision(), is(5L));
+        assertThat(digest.peers(), is(empty()));
+    }
+
+    @Test
+    void unknownTypeKeepsTheConnectionAndItsId() throws Exception {
+        FrameException e = assertThrows(FrameException.class, () -> codec.decode(envelope(2, "Later", Map.of("x", 1))));
+        assertThat(e.kind(), is("unknown-type"));
+        assertThat(e.id(), is(3L));
+        assertThat(e.closesConnection(), is(false));
+    }
+
+    @Test
+    void otherProtocolVersionsCloseTheConnection() {
+        for (int version : new int[] {0, FrameCodec.CURRENT + 1, 255}) {
+            byte[] frame = payload(codec.encode(version, 1, DIGEST));
+            FrameException e = assertThrows(FrameException.class, () -> codec.decode(frame));
+            assertThat(e.kind(), is("bad-version"));
+            assertThat(e.closesConnection(), is(true));
+        }
+    }
+
+    @Test
+    void everyCutFrameIsRefused() {
+        byte[] frame = payload(codec.encode(FrameCodec.CURRENT, 9, DIGEST));
+        for (int length = 0; length < frame.length; length++) {
+            byte[] cut = Arrays.copyOf(frame, length);
+            assertThat(
+                    assertThrows(FrameException.class, () -> codec.decode(cut)).kind(), is("truncated"));
+        }
+    }
+
+    @Test
+    void tooLongFrameIsRefused() {
+        byte[] frame = new byte[FrameCodec.MAX_LENGTH_BYTES + 1];
+        assertThat(assertThrows(FrameException.class, () -> codec.decode(frame)).kind(), is("too-long"));
+    }
+
+    /** Guards against a header of a few bytes that makes the reader allocate gigabytes. */
+    @Test
+    void statedLengthBeyondTheFrameIsRefused() {
+        for (int header : new int[] {0xc6, 0xc9, 0xdb, 0xdd, 0xdf}) {
+            byte[] frame = {2, (byte) header, 0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1};
+            assertThat(
+                    assertThrows(FrameException.class, () -> codec.decode(frame))
+                            .kind(),
+                    is("truncated"));
+        }
+    }
+
+    @Property(seed = "4711", tries = 2000)
+    void anyBytesGiveAFrameOrATypedError(@ForAll byte[] bytes) {
+        decodeOrRefuse(bytes);
+    }
+
+    @Property(seed = "4712", tries = 2000)
+    void anyChangedByteGivesAFrameOrATypedError(@ForAll int position, @ForAll byte value) {
+        byte[] frame = payload(codec.encode(FrameCodec.CURRENT, 9, DIGEST));
+        frame[Math.floorMod(position, frame.length)] = value;
+        decodeOrRefuse(frame);
+    }
+
+    private void decodeOrRefuse(byte[] bytes) {
+        try {
+            codec.decode(bytes).message();
+        } catch (FrameException e) {
+            assertThat(
+                    e.kind(),
+                    anyOf(is("truncated"), is("bad-version"), is("bad-body"), is("unknown-type"), is("too-long")));
+        }
+    }
+
+    @Test
+    void neighbouringVersionsReadEachOther() {
+        FrameCodec next = new FrameCodec(FrameCodec.CURRENT + 1);
+        UpToDate message = new UpToDate(1, "a");
+        assertThat(
+                codec.decode(payload(next.encode(next.minVersion(), 1, message)))
+                        .message(),
+                is(message));
+        assertThat(
+                next.decode(payload(codec.encode(codec.maxVersion(), 1, message)))
+                        .message(),
+                is(message));
+    }
+
+    private static byte[] payload(byte[] frame) {
+        return Arrays.copyOfRange(frame, FrameCodec.LENGTH_BYTES, frame.length);
+    }
+
+    private static byte[] envelope(int version, String type, Map<String, Object> body) throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        bytes.write(version);
+        Map<String, Object> envelope = new java.util.LinkedHashMap<>();
+        envelope.put("type", type);
+        envelope.put("id", 3);
+        envelope.put("body", body);
+        bytes.write(new ObjectMapper(new MessagePackFactory()).writeValueAsBytes(envelope));
+        return bytes.toByteArray();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
@@ -0,0 +1,188 @@
+package io.jaywick.node.peer;
+
+import java.io.DataInputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+
+import io.jaywick.core.message.Ack;
+import io.jaywick.core.message.Announce;
+import io.jaywick.core.message.ErrorReply;
+import io.jaywick.core.message.FleetQuery;
+import io.jaywick.core.message.Hello;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.node.frame.FrameCodec;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.netty.resources.LoopResources;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class TcpPeerLinkTestCase {
+
+    private static final LoopResources LOOPS = LoopResources.create("test", 2, true);
+    private static final PeerEntry SELF = new PeerEntry("s1", "dc1", "r1", "svc", "", "", 1, 0, false);
+    private static final LinkLimits LIMITS = new LinkLimits(4, 1_000, 60_000, 60_000);
+
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final MessageHandlers handlers = new MessageHandlers();
+    private final PeerTraffic traffic = new PeerTraffic();
+
+    @AfterEach
+    void closeAll() throws Exception {
+        for (AutoCloseable closeable : opened) {
+            closeable.close();
+        }
+    }
+
+    @AfterAll
+    static void stopLoops() {
+        LOOPS.dispose();
+    }
+
+    private PeerServer server(FrameCodec codec) {
+        handlers.register(Hello.class, hello -> done(new Hello(codec.minVersion(), codec.maxVersion(), SELF)));
+        handlers.register(Announce.class, message -> done(new Ack("s2")));
+        PeerServer server = new PeerServer("127.0.0.1:0", handlers, codec, traffic, LIMITS, LOOPS);
+        opened.add(server);
+        return server;
+    }
+
+    private TcpPeerLink link(FrameCodec codec) {
+        TcpPeerLink link = new TcpPeerLink(codec, new PeerTraffic(), LIMITS, LOOPS, () -> SELF, new Random(1));
+        opened.add(link);
+        return link;
+    }
+
+    @Test
+    void requestGetsItsReply() throws Exception {
+        Message reply = link(new FrameCodec())
+                .request(server(new FrameCodec()).address(), announce())
+                .get();
+        assertThat(reply, is(new Ack("s2")));
+    }
+
+    @Test
+    void neighbouringVersionsTalkInBothDirections() throws Exception {
+        FrameCodec next = new FrameCodec(FrameCodec.CURRENT + 1);
+        assertThat(
+                link(next)
+                        .request(server(new FrameCodec()).address(), announce())
+                        .get(),
+                is(new Ack("s2")));
+        assertThat(
+                link(new FrameCodec())
+                        .request(server(next).address(), announce())
+                        .get(),
+                is(new Ack("s2")));
+    }
+
+    @Test
+    void versionTwoStepsAwayIsToldAndDropped() {
+        FrameCodec far = new FrameCodec(FrameCodec.CURRENT + 2);
+        CompletableFuture<Message> reply =
+                link(far).request(server(new FrameCodec()).address(), announce());
+        assertKind(reply, PeerException.Kind.UNREACHABLE);
+    }
+
+    /** Guards against an unknown type that ends the connection of everyone who shares it. */
+    @Test
+    void messageWithoutHandlerIsRefusedAndTheConnectionStays() throws Exception {
+        TcpPeerLink link = link(new FrameCodec());
+        String address = server(new FrameCodec()).address();
+        assertKind(link.request(address, new FleetQuery("dc1")), PeerException.Kind.REFUSED);
+        assertThat(link.request(address, announce()).get(), is(new Ack("s2")));
+        assertThat(link.openConnections(), is(1));
+    }
+
+    @Test
+    void tooLongFrameIsToldAndDropped() throws Exception {
+        assertFaultIsTold(
+                ByteBuffer.allocate(4).putInt(FrameCodec.MAX_LENGTH_BYTES + 1).array(), "too-long");
+    }
+
+    @Test
+    void otherVersionIsToldAndDropped() throws Exception {
+        assertFaultIsTold(new byte[] {0, 0, 0, 2, 99, (byte) 0xc0}, "bad-version");
+    }
+
+    @Test
+    void cutBodyIsToldAndDropped() throws Exception {
+        assertFaultIsTold(new byte[] {0, 0, 0, 3, 2, (byte) 0x83, 1}, "truncated");
+    }
+
+    private void assertFaultIsTold(byte[] bytes, String kind) throws Exception {
+        String address = server(new FrameCodec()).address();
+        try (Socket socket = new Socket()) {
+            socket.connect(PeerAddress.parse(address));
+            OutputStream out = socket.getOutputStream();
+            out.write(bytes);
+            out.flush();
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            Message reply = new FrameCodec().decode(in.readNBytes(in.readInt())).message();
+            assertThat(reply, instanceOf(ErrorReply.class));
+            assertThat(((ErrorReply) reply).kind(), is(kind));
+            assertThat("closed after the reply", in.read(), is(-1));
+        }
+        assertThat(traffic.rejectedFrames(), is(1L));
+    }
+
+    /** Guards against a stuck peer that takes the memory or the time of requests to other peers. */
+    @Test
+    void stuckPeerFillsOnlyItsOwnQueue() throws Exception {
+        String good = server(new FrameCodec()).address();
+        try (ServerSocket stuck =
+                new ServerSocket(0, 1, PeerAddress.parse("127.0.0.1:1").getAddress())) {
+            String bad = "127.0.0.1:" + stuck.getLocalPort();
+            TcpPeerLink link = link(new FrameCodec());
+            for (int i = 0; i < LIMITS.queueMessages(); i++) {
+                assertThat(link.request(bad, announce()).isDone(), is(false));
+            }
+            assertKind(link.request(bad, announce()), PeerException.Kind.QUEUE_FULL);
+            assertThat(link.request(good, announce()).get(), is(new Ack("s2")));
+        }
+    }
+
+    /** Guards against connection attempts in a tight loop. */
+    @Test
+    void refusedConnectionStartsABackoff() throws Exception {
+        String address;
+        try (ServerSocket unused = new ServerSocket(0)) {
+            address = "127.0.0.1:" + unused.getLocalPort();
+        }
+        TcpPeerLink link = link(new FrameCodec());
+        assertKind(link.request(address, announce()), PeerException.Kind.UNREACHABLE);
+        ExecutionException again = assertThrows(ExecutionException.class, () -> link.request(address, announce())
+                .get());
+        assertThat(again.getCause(), instanceOf(PeerException.class));
+    }
+
+    @Test
+    void addressThatIsNoIpAddressFails() {
+        assertKind(link(new FrameCodec()).request("localhost:1", announce()), PeerException.Kind.UNREACHABLE);
+    }
+
+    private static Announce announce() {
+        return new Announce("s1", 1, "a");
+    }
+
+    private static CompletableFuture<Message> done(Message message) {
+        return CompletableFuture.completedFuture(message);
+    }
+
+    private static void assertKind(CompletableFuture<Message> reply, PeerException.Kind kind) {
+        ExecutionException e = assertThrows(ExecutionException.class, reply::get);
+        assertThat(((PeerException) e.getCause()).kind(), is(kind));
+    }
+}
