Add version tracking, membership and the distribution service

Every node must take up every version of the table without one call to the source per node. A node announces what it adopts, and those behind pull the delta once; digests every second repair losses. Readers, relays and heads follow from rendezvous hashing over each node's own view.

Silence before suspicion grows with the number of servers: at 3,700 servers and a few entries per digest, an entry is renewed every ten minutes, so that a fixed limit of 10 s would make everyone a suspect. Dead role holders are found by checks of those that rank above a node instead.

--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/ContentTransfer.java
@@ -0,0 +1,137 @@
+package io.jaywick.core.distribution;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.zip.DataFormatException;
+import java.util.zip.Deflater;
+import java.util.zip.Inflater;
+
+import io.jaywick.core.message.ContentPart;
+import io.jaywick.core.table.Sheet;
+import io.jaywick.core.table.TableContent;
+
+/** The canonical content in the form in which it is transferred in full: deflated and cut into parts. */
+public final class ContentTransfer {
+
+    /** Bytes of compressed content in one part. */
+    public static final int PART_BYTES = 64 << 10;
+
+    /** Largest inflated content in bytes; the packed value is at most 1 MB and canonical rows are no longer. */
+    public static final int MAX_CONTENT_BYTES = 4 << 20;
+
+    private final long revision;
+    private final String hash;
+    private final byte[] compressed;
+
+    public ContentTransfer(long revision, TableContent content) {
+        this.revision = revision;
+        this.hash = content.hash().hex();
+        this.compressed = deflate(content.canonicalBytes());
+    }
+
+    public long revision() {
+        return revision;
+    }
+
+    /** Returns one part; a number out of range gives the first part. */
+    public ContentPart part(int number) {
+        int parts = Math.max(1, (compressed.length + PART_BYTES - 1) / PART_BYTES);
+        int part = number < 0 || number >= parts ? 0 : number;
+        int from = part * PART_BYTES;
+        byte[] data = java.util.Arrays.copyOfRange(compressed, from, Math.min(compressed.length, from + PART_BYTES));
+        return new ContentPart(revision, hash, part, parts, data);
+    }
+
+    /** Inflates and reads a content; returns null when it is not one. */
+    static TableContent read(byte[] compressed) {
+        byte[] bytes = inflate(compressed);
+        if (bytes == null) {
+            return null;
+        }
+        String text;
+        try {
+            text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(java.nio.ByteBuffer.wrap(bytes))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            return null;
+        }
+        Map<Sheet, Map<String, String>> rows = new EnumMap<>(Sheet.class);
+        Sheet sheet = null;
+        for (String line : text.split("\n")) {
+            Sheet header = line.startsWith("#") ? Sheet.byName(line.substring(1)) : null;
+            if (header != null) {
+                sheet = header;
+                rows.put(sheet, new TreeMap<>());
+            } else if (sheet == null) {
+                return null;
+            } else {
+                rows.get(sheet).put(key(sheet, line), line);
+            }
+        }
+        return new TableContent(rows);
+    }
+
+    /** Key of a canonical row: its leading fields joined with a comma, without the quotes around a whole field. */
+    private static String key(Sheet sheet, String row) {
+        StringBuilder key = new StringBuilder();
+        int position = 0;
+        for (int field = 0; field < sheet.keyColumns() && position <= row.length(); field++) {
+            boolean quoted = position < row.length() && row.charAt(position) == '"';
+            int start = quoted ? position + 1 : position;
+            int end = row.indexOf(quoted ? '"' : ',', start);
+            end = end < 0 ? row.length() : end;
+            if (field > 0) {
+                key.append(',');
+            }
+            key.append(row, start, end);
+            position = end + (quoted ? 2 : 1);
+        }
+        return key.toString();
+    }
+
+    private static byte[] deflate(byte[] bytes) {
+        Deflater deflater = new Deflater();
+        try {
+            deflater.setInput(bytes);
+            deflater.finish();
+            ByteArrayOutputStream out = new ByteArrayOutputStream(bytes.length / 4 + 64);
+            byte[] buffer = new byte[8_192];
+            while (!deflater.finished()) {
+                out.write(buffer, 0, deflater.deflate(buffer));
+            }
+            return out.toByteArray();
+        } finally {
+            deflater.end();
+        }
+    }
+
+    private static byte[] inflate(byte[] compressed) {
+        Inflater inflater = new Inflater();
+        try {
+            inflater.setInput(compressed);
+            ByteArrayOutputStream out = new ByteArrayOutputStream(compressed.length * 4 + 64);
+            byte[] buffer = new byte[8_192];
+            while (!inflater.finished()) {
+                int count = inflater.inflate(buffer);
+                if (count == 0 && (inflater.needsInput() || inflater.needsDictionary())) {
+                    return null;
+                }
+                if (out.size() + count > MAX_CONTENT_BYTES) {
+                    return null;
+                }
+                out.write(buffer, 0, count);
+            }
+            return out.toByteArray();
+        } catch (DataFormatException e) {
+            return null;
+        } finally {
+            inflater.end();
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/FleetTally.java
@@ -0,0 +1,72 @@
+package io.jaywick.core.distribution;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.OptionalLong;
+
+import io.jaywick.core.message.Laggard;
+
+/** Adds up version counts of servers, groups or data centres with bounded lists of laggards. */
+public final class FleetTally {
+
+    /** Laggards that one count names. */
+    public static final int MAX_LAGGARDS = 16;
+
+    private FleetTally() {}
+
+    /** Adds up counts; an older count becomes one laggard that stands for all its servers. */
+    public static Count sum(Collection<Count> counts) {
+        long revision = 0;
+        String hash = "";
+        for (Count count : counts) {
+            if (count.revision > revision) {
+                revision = count.revision;
+                hash = count.hash;
+            }
+        }
+        int inForce = 0;
+        int known = 0;
+        List<Laggard> laggards = new ArrayList<>();
+        for (Count count : counts) {
+            known += count.known;
+            if (count.revision == revision && count.hash.equals(hash)) {
+                inForce += count.inForce;
+            } else if (count.inForce > 0) {
+                String name = count.inForce == 1 ? count.name : count.inForce + " servers of " + count.name;
+                laggards.add(new Laggard(name, count.revision));
+            }
+            laggards.addAll(count.laggards);
+        }
+        // The oldest are kept, so that the smallest revision survives every level.
+        laggards.sort(Comparator.comparingLong(Laggard::revision).thenComparing(Laggard::server));
+        if (laggards.size() > MAX_LAGGARDS) {
+            laggards = new ArrayList<>(laggards.subList(0, MAX_LAGGARDS));
+        }
+        return new Count("", revision, hash, inForce, known, laggards);
+    }
+
+    /** Makes the status of the fleet from the counts of its data centres and the size of the roster. */
+    public static FleetStatus status(Collection<Count> counts, int servers) {
+        Count sum = sum(counts);
+        OptionalLong smallest = OptionalLong.empty();
+        if (servers > 0 && sum.known >= servers && sum.revision > 0) {
+            long revision = sum.revision;
+            for (Laggard laggard : sum.laggards) {
+                revision = Math.min(revision, laggard.revision());
+            }
+            smallest = OptionalLong.of(revision);
+        }
+        return new FleetStatus(sum.revision, sum.hash, sum.inForce, sum.known, servers, sum.laggards, smallest);
+    }
+
+    /**
+     * Version counts of one server or of several.
+     *
+     * @param name stands for the servers in the list of laggards
+     * @param inForce servers that hold the revision and hash
+     * @param known servers that reported
+     */
+    public record Count(String name, long revision, String hash, int inForce, int known, List<Laggard> laggards) {}
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/TableDelta.java
@@ -0,0 +1,70 @@
+package io.jaywick.core.distribution;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+
+import io.jaywick.core.message.DeltaReply;
+import io.jaywick.core.message.RowChange;
+import io.jaywick.core.table.Sheet;
+import io.jaywick.core.table.TableContent;
+
+/** Row changes between two versions of the table. */
+public final class TableDelta {
+
+    private TableDelta() {}
+
+    /** Returns the changes that lead from one content to another. */
+    public static List<RowChange> between(TableContent base, TableContent next) {
+        List<RowChange> changes = new ArrayList<>();
+        for (Sheet sheet : Sheet.values()) {
+            NavigableMap<String, String> before = base.rows(sheet);
+            NavigableMap<String, String> after = next.rows(sheet);
+            for (Map.Entry<String, String> row : after.entrySet()) {
+                if (!row.getValue().equals(before.get(row.getKey()))) {
+                    changes.add(new RowChange(sheet.sheetName(), row.getKey(), row.getValue()));
+                }
+            }
+            for (String key : before.keySet()) {
+                if (!after.containsKey(key)) {
+                    changes.add(new RowChange(sheet.sheetName(), key, ""));
+                }
+            }
+        }
+        return changes;
+    }
+
+    /**
+     * Applies changes to a content.
+     *
+     * @return the new content, or null when a change names an unknown sheet or the hash of the result is not the
+     *     stated one
+     */
+    public static TableContent apply(TableContent base, DeltaReply delta) {
+        Map<Sheet, Map<String, String>> rows = new EnumMap<>(Sheet.class);
+        for (Sheet sheet : Sheet.values()) {
+            rows.put(sheet, base.rows(sheet));
+        }
+        for (RowChange change : delta.changes()) {
+            Sheet sheet = Sheet.byName(change.sheet());
+            if (sheet == null) {
+                return null;
+            }
+            Map<String, String> changed = rows.get(sheet);
+            if (changed == base.rows(sheet)) {
+                changed = new TreeMap<>(changed);
+                rows.put(sheet, changed);
+            }
+            if (change.row() == null || change.row().isEmpty()) {
+                changed.remove(change.key());
+            } else {
+                changed.put(change.key(), change.row());
+            }
+        }
+        TableContent result = new TableContent(rows);
+        return result.hash().hex().equals(delta.hash()) ? result : null;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/membership/Peer.java
@@ -0,0 +1,117 @@
+package io.jaywick.core.membership;
+
+import io.jaywick.core.message.PeerEntry;
+
+/** What the membership table holds of one server; changed only by the table. */
+public final class Peer {
+
+    static final long NEVER = Long.MIN_VALUE / 2;
+
+    private final long relayScore;
+    private final long readerScore;
+    private final long pairScore;
+    private PeerEntry entry;
+    private long heardMillis;
+    private long failedMillis = NEVER;
+    private boolean confirmed;
+    private Member member;
+
+    Peer(String self, PeerEntry entry, long heardMillis, boolean confirmed) {
+        this.entry = entry;
+        this.heardMillis = heardMillis;
+        this.confirmed = confirmed;
+        this.relayScore = Rendezvous.score("relay", entry.server());
+        this.readerScore = Rendezvous.score("reader", entry.server());
+        this.pairScore = Rendezvous.pairScore(self, entry.server());
+    }
+
+    public String server() {
+        return entry.server();
+    }
+
+    public String dataCentre() {
+        return entry.dataCentre();
+    }
+
+    public String region() {
+        return entry.region();
+    }
+
+    /** HOST:PORT for frames. */
+    public String address() {
+        return entry.peerAddress();
+    }
+
+    PeerEntry entry() {
+        return entry;
+    }
+
+    long heardMillis() {
+        return heardMillis;
+    }
+
+    /** True when the server or someone who heard it spoke of it, false when only the instance list did. */
+    boolean confirmed() {
+        return confirmed;
+    }
+
+    long relayScore() {
+        return relayScore;
+    }
+
+    long readerScore() {
+        return readerScore;
+    }
+
+    long pairScore() {
+        return pairScore;
+    }
+
+    void replace(PeerEntry newer, long heard, boolean nowConfirmed) {
+        entry = newer;
+        heardMillis = heard;
+        failedMillis = NEVER;
+        confirmed = nowConfirmed;
+        member = null;
+    }
+
+    void heard(long millis) {
+        heardMillis = Math.max(heardMillis, millis);
+        confirmed = true;
+    }
+
+    void failed(long millis) {
+        failedMillis = millis;
+    }
+
+    void shift(long millis) {
+        heardMillis += millis;
+        if (failedMillis != NEVER) {
+            failedMillis += millis;
+        }
+    }
+
+    /** A failed contact counts until something newer than the failure is heard. */
+    MemberState state(long nowMillis, long silenceMillis) {
+        if (entry.leaving()) {
+            return MemberState.LEAVING;
+        }
+        boolean suspect = failedMillis >= heardMillis || nowMillis - heardMillis > silenceMillis;
+        return suspect ? MemberState.SUSPECT : MemberState.ALIVE;
+    }
+
+    Member member(MemberState state) {
+        if (member == null || member.state() != state) {
+            member = new Member(
+                    entry.server(),
+                    entry.dataCentre(),
+                    entry.region(),
+                    entry.service(),
+                    entry.peerAddress(),
+                    entry.ingressAddress(),
+                    entry.incarnation(),
+                    state);
+        }
+        return member;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/membership/Roles.java
@@ -0,0 +1,166 @@
+package io.jaywick.core.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
+
+/**
+ * Roles that follow from one node's view of the living members. Views may differ between nodes: two relays or readers
+ * too many cost bytes, one too few is made up for by the digests to random peers.
+ */
+public final class Roles {
+
+    /** Members of an order that check those above them every second, so that a dead holder of a role is replaced. */
+    public static final int CANDIDATES = 6;
+
+    private final List<Peer> neighbours;
+    private final Map<String, List<Peer>> relaysByDataCentre = new TreeMap<>();
+    private final Map<String, List<Peer>> relaysByRegion = new TreeMap<>();
+    private final Map<String, Peer> suspectsByDataCentre = new TreeMap<>();
+    private final Map<String, Peer> suspectsByRegion = new TreeMap<>();
+    private final Map<String, Integer> suspectCounts = new HashMap<>();
+    private final Map<String, Integer> localSuspectCounts = new HashMap<>();
+    private final List<Peer> readersAbove;
+    private final List<Peer> relaysAbove;
+    private int relayRank;
+    private int regionRelayRank;
+    private int readerRank;
+    private int aliveInRegion = 1;
+    private int aliveInDataCentre = 1;
+    private int alive = 1;
+
+    /** Computes the roles of the moment in time proportional to the number of members. */
+    public Roles(MembershipTable table, int neighbourCount, RandomGenerator random) {
+        String dataCentre = table.self().dataCentre();
+        String region = table.self().region();
+        long ownRelay = Rendezvous.score("relay", table.self().server());
+        long ownReader = Rendezvous.score("reader", table.self().server());
+        neighbours = new ArrayList<>(neighbourCount);
+        readersAbove = new ArrayList<>(CANDIDATES);
+        relaysAbove = new ArrayList<>(CANDIDATES);
+        for (Peer peer : table.peers()) {
+            MemberState state = table.state(peer);
+            if (state == MemberState.SUSPECT) {
+                sample(suspectsByRegion, suspectCounts, peer.region(), peer, random);
+                if (peer.region().equals(region)) {
+                    sample(suspectsByDataCentre, localSuspectCounts, peer.dataCentre(), peer, random);
+                }
+            }
+            if (state != MemberState.ALIVE) {
+                continue;
+            }
+            alive++;
+            insert(
+                    relaysByDataCentre.computeIfAbsent(peer.dataCentre(), k -> new ArrayList<>()),
+                    peer,
+                    Peer::relayScore,
+                    2);
+            insert(relaysByRegion.computeIfAbsent(peer.region(), k -> new ArrayList<>()), peer, Peer::relayScore, 2);
+            if (peer.dataCentre().equals(dataCentre)) {
+                aliveInDataCentre++;
+                insert(neighbours, peer, Peer::pairScore, neighbourCount);
+                if (peer.relayScore() > ownRelay) {
+                    relayRank++;
+                    insert(relaysAbove, peer, Peer::relayScore, CANDIDATES);
+                }
+            }
+            if (peer.region().equals(region)) {
+                aliveInRegion++;
+                if (peer.relayScore() > ownRelay) {
+                    regionRelayRank++;
+                }
+                if (peer.readerScore() > ownReader) {
+                    readerRank++;
+                    insert(readersAbove, peer, Peer::readerScore, CANDIDATES);
+                }
+            }
+        }
+    }
+
+    /** Members of the own data centre that receive this node's announcements. */
+    public List<Peer> neighbours() {
+        return neighbours;
+    }
+
+    /** The first two relays of each data centre, without this node. */
+    public Map<String, List<Peer>> relaysByDataCentre() {
+        return relaysByDataCentre;
+    }
+
+    /** The first two relays of each region, without this node. */
+    public Map<String, List<Peer>> relaysByRegion() {
+        return relaysByRegion;
+    }
+
+    /** A random suspect of each region, so that a region that was cut off is found again. */
+    public Map<String, Peer> suspectsByRegion() {
+        return suspectsByRegion;
+    }
+
+    /** A random suspect of each data centre of the own region. */
+    public Map<String, Peer> suspectsByDataCentre() {
+        return suspectsByDataCentre;
+    }
+
+    /** Candidates for reader of the own region that rank above this node. */
+    public List<Peer> readersAbove() {
+        return readersAbove;
+    }
+
+    /** Candidates for relay of the own data centre that rank above this node. */
+    public List<Peer> relaysAbove() {
+        return relaysAbove;
+    }
+
+    /** Rank of this node among the relays of its data centre, from 0. */
+    public int relayRank() {
+        return relayRank;
+    }
+
+    /** Rank of this node among the relays of its region, from 0. */
+    public int regionRelayRank() {
+        return regionRelayRank;
+    }
+
+    /** Rank of this node among the readers of its region, from 0. */
+    public int readerRank() {
+        return readerRank;
+    }
+
+    public int aliveInRegion() {
+        return aliveInRegion;
+    }
+
+    public int aliveInDataCentre() {
+        return aliveInDataCentre;
+    }
+
+    public int alive() {
+        return alive;
+    }
+
+    private static void sample(
+            Map<String, Peer> chosen, Map<String, Integer> counts, String key, Peer peer, RandomGenerator random) {
+        int count = counts.merge(key, 1, Integer::sum);
+        if (random.nextInt(count) == 0) {
+            chosen.put(key, peer);
+        }
+    }
+
+    private static void insert(List<Peer> top, Peer peer, ToLongFunction<Peer> score, int limit) {
+        int at = top.size();
+        while (at > 0 && score.applyAsLong(top.get(at - 1)) < score.applyAsLong(peer)) {
+            at--;
+        }
+        if (at < limit) {
+            if (top.size() == limit) {
+                top.remove(limit - 1);
+            }
+            top.add(at, peer);
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/FleetReporter.java
@@ -0,0 +1,248 @@
+package io.jaywick.node.peer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+
+import io.jaywick.core.distribution.FleetStatus;
+import io.jaywick.core.distribution.FleetTally;
+import io.jaywick.core.distribution.FleetTally.Count;
+import io.jaywick.core.membership.Peer;
+import io.jaywick.core.membership.Rendezvous;
+import io.jaywick.core.message.Ack;
+import io.jaywick.core.message.FleetQuery;
+import io.jaywick.core.message.FleetReply;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.Report;
+import io.jaywick.core.snapshot.DataCentre;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+
+/**
+ * Collects which server holds which version. Servers report to the head of their group, heads of groups to the head of
+ * the data centre, and the node that is asked queries the heads of all data centres. Every head is picked by rendezvous
+ * hash; two views that differ split the reports, so that a count is at worst too small for a few intervals.
+ */
+final class FleetReporter {
+
+    /** Servers in one group. */
+    static final int GROUP_SIZE = 32;
+
+    private static final int SERVER_REPORT = -1;
+    private static final int FRESH_INTERVALS = 3;
+    private static final long QUERY_MILLIS = 2_000;
+    private static final int QUERIED_HEADS = 2;
+
+    private final NodeState state;
+    private final Map<String, Received> servers = new LinkedHashMap<>();
+    private final Map<Integer, Received> groups = new HashMap<>();
+    private Snapshot counted;
+    private final Map<String, Integer> rosterByDataCentre = new HashMap<>();
+
+    FleetReporter(NodeState state) {
+        this.state = state;
+    }
+
+    /** Reports the own version, and as head of the group that of its members. */
+    void report() {
+        Snapshot snapshot = state.tracker.active();
+        if (snapshot == null) {
+            return;
+        }
+        countRoster(snapshot);
+        Report own = new Report(
+                state.self(), dataCentre(), SERVER_REPORT, snapshot.revision(), snapshot.hash(), 1, 1, List.of());
+        send(groupHead(group(state.self())), own);
+        dropOld();
+        Map<Integer, List<Count>> byGroup = new HashMap<>();
+        for (Received received : servers.values()) {
+            byGroup.computeIfAbsent(group(received.count.name()), k -> new ArrayList<>())
+                    .add(received.count);
+        }
+        byGroup.forEach((group, counts) -> {
+            Count sum = FleetTally.sum(counts);
+            Report report = new Report(
+                    state.self(),
+                    dataCentre(),
+                    group,
+                    sum.revision(),
+                    sum.hash(),
+                    sum.inForce(),
+                    sum.known(),
+                    sum.laggards());
+            send(dataCentreHeads(dataCentre()).get(0), report);
+        });
+    }
+
+    Message answer(Report report) {
+        state.contacted(report.from());
+        Received received = new Received(
+                new Count(
+                        report.from(),
+                        report.revision(),
+                        report.hash(),
+                        report.inForce(),
+                        report.known(),
+                        report.laggards()),
+                state.loop.nowMillis());
+        if (report.group() == SERVER_REPORT) {
+            servers.put(report.from(), received);
+        } else {
+            dropOld();
+            // Two heads of one group may overlap, so only the one that knows more servers counts.
+            Received other = groups.get(report.group());
+            if (other == null || other.count.name().equals(report.from()) || other.count.known() <= report.known()) {
+                groups.put(report.group(), received);
+            }
+        }
+        return new Ack(state.self());
+    }
+
+    Message answer(FleetQuery query) {
+        dropOld();
+        List<Count> counts = new ArrayList<>();
+        groups.forEach((group, received) -> {
+            Count count = received.count;
+            String name = query.dataCentre() + " group " + group;
+            counts.add(
+                    new Count(name, count.revision(), count.hash(), count.inForce(), count.known(), count.laggards()));
+        });
+        Count sum = FleetTally.sum(counts);
+        return new FleetReply(
+                query.dataCentre(), sum.revision(), sum.hash(), sum.inForce(), sum.known(), sum.laggards());
+    }
+
+    /** Queries the heads of all data centres of the roster. */
+    CompletableFuture<FleetStatus> status() {
+        CompletableFuture<FleetStatus> result = new CompletableFuture<>();
+        Snapshot snapshot = state.tracker.active();
+        if (snapshot == null) {
+            result.complete(FleetTally.status(List.of(), 0));
+            return result;
+        }
+        countRoster(snapshot);
+        Map<String, FleetReply> replies = new HashMap<>();
+        int[] open = {1};
+        for (DataCentre dataCentre : snapshot.dataCentres().values()) {
+            // The second candidate answers when the first is lost or when the views of the nodes differ.
+            for (String head : dataCentreHeads(dataCentre.name())) {
+                open[0]++;
+                query(head, dataCentre.name(), reply -> {
+                    if (reply instanceof FleetReply counts) {
+                        replies.merge(dataCentre.name(), counts, (a, b) -> a.known() >= b.known() ? a : b);
+                    }
+                    finish(open, replies, snapshot, result);
+                });
+            }
+        }
+        finish(open, replies, snapshot, result);
+        return result;
+    }
+
+    private static void finish(
+            int[] open, Map<String, FleetReply> replies, Snapshot snapshot, CompletableFuture<FleetStatus> result) {
+        open[0]--;
+        if (open[0] > 0) {
+            return;
+        }
+        List<Count> counts = new ArrayList<>();
+        for (FleetReply reply : replies.values()) {
+            counts.add(new Count(
+                    reply.dataCentre(),
+                    reply.revision(),
+                    reply.hash(),
+                    reply.inForce(),
+                    reply.known(),
+                    reply.laggards()));
+        }
+        result.complete(FleetTally.status(counts, snapshot.servers().size()));
+    }
+
+    private void query(String head, String dataCentre, Consumer<Message> onReply) {
+        FleetQuery query = new FleetQuery(dataCentre);
+        Peer peer = state.membership.peer(head);
+        if (head.equals(state.self())) {
+            onReply.accept(answer(query));
+        } else if (peer == null) {
+            onReply.accept(null);
+        } else {
+            state.ask(peer, query, QUERY_MILLIS, onReply, () -> onReply.accept(null));
+        }
+    }
+
+    private void send(String head, Report report) {
+        Peer peer = state.membership.peer(head);
+        if (head.equals(state.self())) {
+            answer(report);
+        } else if (peer != null) {
+            state.ask(peer, report, Spreader.ANSWER_MILLIS, reply -> {});
+        }
+    }
+
+    private String dataCentre() {
+        return state.membership.self().dataCentre();
+    }
+
+    private int group(String server) {
+        int roster = rosterByDataCentre.getOrDefault(dataCentre(), 1);
+        return Rendezvous.group(server, (roster + GROUP_SIZE - 1) / GROUP_SIZE);
+    }
+
+    private String groupHead(int group) {
+        return heads(dataCentre(), "group-head " + group, group).get(0);
+    }
+
+    private List<String> dataCentreHeads(String dataCentre) {
+        return heads(dataCentre, "head", -1);
+    }
+
+    /** The first living members of a data centre or group for a purpose; empty only for a foreign data centre. */
+    private List<String> heads(String dataCentre, String purpose, int group) {
+        List<String> heads = new ArrayList<>(QUERIED_HEADS + 1);
+        if (dataCentre.equals(dataCentre())) {
+            heads.add(state.self());
+        }
+        for (Peer peer : state.membership.peers()) {
+            boolean member = peer.dataCentre().equals(dataCentre) && (group < 0 || group(peer.server()) == group);
+            if (!member || !state.membership.isAlive(peer)) {
+                continue;
+            }
+            long score = Rendezvous.score(purpose, peer.server());
+            int at = heads.size();
+            while (at > 0 && Rendezvous.score(purpose, heads.get(at - 1)) < score) {
+                at--;
+            }
+            if (at < QUERIED_HEADS) {
+                heads.add(at, peer.server());
+                if (heads.size() > QUERIED_HEADS) {
+                    heads.remove(QUERIED_HEADS);
+                }
+            }
+        }
+        return heads;
+    }
+
+    private void countRoster(Snapshot snapshot) {
+        if (counted == snapshot) {
+            return;
+        }
+        counted = snapshot;
+        rosterByDataCentre.clear();
+        for (Server server : snapshot.servers().values()) {
+            rosterByDataCentre.merge(server.dataCentre().name(), 1, Integer::sum);
+        }
+    }
+
+    private void dropOld() {
+        long oldest =
+                state.loop.nowMillis() - FRESH_INTERVALS * state.config.peers().reportIntervalMillis();
+        servers.values().removeIf(received -> received.atMillis < oldest);
+        groups.values().removeIf(received -> received.atMillis < oldest);
+    }
+
+    private record Received(Count count, long atMillis) {}
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/NodeLoop.java
@@ -0,0 +1,97 @@
+package io.jaywick.node.peer;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
+
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.scheduler.Scheduler;
+
+/** Runs all decisions of one node one after another on a worker of the scheduler. */
+final class NodeLoop implements AutoCloseable {
+
+    private final Scheduler scheduler;
+    private final Scheduler.Worker worker;
+
+    NodeLoop(Scheduler scheduler) {
+        this.scheduler = scheduler;
+        this.worker = scheduler.createWorker();
+    }
+
+    /** Monotonic time; the scheduler serves units below a millisecond from a monotonic clock. */
+    long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(scheduler.now(TimeUnit.NANOSECONDS));
+    }
+
+    void execute(Runnable task) {
+        try {
+            worker.schedule(task);
+        } catch (RejectedExecutionException e) {
+            // The node is closed.
+            return;
+        }
+    }
+
+    Disposable after(long delayMillis, Runnable task) {
+        try {
+            return worker.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+        } catch (RejectedExecutionException e) {
+            return Disposables.disposed();
+        }
+    }
+
+    <T> CompletableFuture<T> call(Supplier<T> task) {
+        CompletableFuture<T> result = new CompletableFuture<>();
+        execute(() -> {
+            try {
+                result.complete(task.get());
+            } catch (RuntimeException e) {
+                result.completeExceptionally(e);
+            }
+        });
+        return result;
+    }
+
+    /**
+     * Passes the result of a future to the consumer, on this loop and exactly once. After the timeout the future is
+     * cancelled and the consumer gets a {@link PeerException} of the kind TIMEOUT.
+     */
+    <T> void await(CompletableFuture<T> future, long timeoutMillis, BiConsumer<T, Throwable> consumer) {
+        Await<T> await = new Await<>(consumer);
+        Disposable timer = after(timeoutMillis, () -> {
+            if (await.finish(null, new PeerException(PeerException.Kind.TIMEOUT, "no result in time"))) {
+                future.cancel(true);
+            }
+        });
+        future.whenComplete((value, failure) -> execute(() -> {
+            timer.dispose();
+            await.finish(value, failure);
+        }));
+    }
+
+    @Override
+    public void close() {
+        worker.dispose();
+    }
+
+    private static final class Await<T> {
+        private final BiConsumer<T, Throwable> consumer;
+        private boolean finished;
+
+        Await(BiConsumer<T, Throwable> consumer) {
+            this.consumer = consumer;
+        }
+
+        boolean finish(T value, Throwable failure) {
+            if (finished) {
+                return false;
+            }
+            finished = true;
+            consumer.accept(value, failure);
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/NodeState.java
@@ -0,0 +1,136 @@
+package io.jaywick.node.peer;
+
+import java.util.concurrent.CompletionException;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.distribution.VersionTracker;
+import io.jaywick.core.membership.MembershipTable;
+import io.jaywick.core.membership.Peer;
+import io.jaywick.core.membership.Roles;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+
+/** What the parts of the distribution service share; used on the loop only. */
+final class NodeState {
+
+    final DistributionConfig config;
+    final NodeLoop loop;
+    final RandomGenerator random;
+    final MembershipTable membership;
+    final VersionTracker tracker;
+    private final PeerLink link;
+    private Roles roles;
+    private long sourceRegionMillis;
+    private Snapshot counted;
+    private int rosterInRegion;
+
+    NodeState(
+            DistributionConfig config,
+            NodeLoop loop,
+            RandomGenerator random,
+            MembershipTable membership,
+            VersionTracker tracker,
+            PeerLink link) {
+        this.config = config;
+        this.loop = loop;
+        this.random = random;
+        this.membership = membership;
+        this.tracker = tracker;
+        this.link = link;
+        this.sourceRegionMillis = loop.nowMillis();
+        renewRoles();
+    }
+
+    String self() {
+        return membership.self().server();
+    }
+
+    Roles roles() {
+        return roles;
+    }
+
+    void renewRoles() {
+        roles = new Roles(membership, config.peers().neighbours(), random);
+    }
+
+    /** Sends a message to a known server and notes whether it answers. */
+    void ask(Peer peer, Message message, long timeoutMillis, Consumer<Message> onReply) {
+        ask(peer, message, timeoutMillis, onReply, () -> {});
+    }
+
+    void ask(Peer peer, Message message, long timeoutMillis, Consumer<Message> onReply, Runnable onFailure) {
+        String server = peer.server();
+        loop.await(link.request(peer.address(), message), timeoutMillis, (reply, failure) -> {
+            if (failure == null) {
+                contacted(server);
+                onReply.accept(reply);
+            } else {
+                if (isLoss(failure)) {
+                    membership.failed(server);
+                }
+                onFailure.run();
+            }
+        });
+    }
+
+    /** Sends a message to an address whose server is not known. */
+    void ask(String address, Message message, long timeoutMillis, BiConsumer<Message, Throwable> onResult) {
+        loop.await(link.request(address, message), timeoutMillis, onResult);
+    }
+
+    /** Notes that a server spoke to this node. */
+    void contacted(String server) {
+        membership.answered(server);
+        Peer peer = membership.peer(server);
+        if (peer != null && peer.region().equals(config.source().region())) {
+            sourceRegionMillis = loop.nowMillis();
+        }
+    }
+
+    /** Time since a server of the source's region last spoke to this node. */
+    long sourceRegionAgeMillis() {
+        return loop.nowMillis() - sourceRegionMillis;
+    }
+
+    boolean isInSourceRegion() {
+        return membership.self().region().equals(config.source().region());
+    }
+
+    /** Number of servers in the fleet, as far as this node can tell. */
+    int fleetSize() {
+        Snapshot snapshot = tracker.active();
+        int roster = snapshot == null ? 0 : snapshot.servers().size();
+        return Math.max(roster, membership.peers().size() + 1);
+    }
+
+    /** True when this node sees at least half of its region's roster alive, so that its ranks mean something. */
+    boolean isViewTrusted() {
+        Snapshot snapshot = tracker.active();
+        if (snapshot == null) {
+            return false;
+        }
+        if (counted != snapshot) {
+            counted = snapshot;
+            rosterInRegion = 0;
+            for (Server server : snapshot.servers().values()) {
+                if (server.dataCentre().region().equals(membership.self().region())) {
+                    rosterInRegion++;
+                }
+            }
+        }
+        return rosterInRegion > 0 && roles.aliveInRegion() * 2 >= rosterInRegion;
+    }
+
+    /** A full queue or a refusal says nothing about whether the peer lives. */
+    private static boolean isLoss(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof PeerException peer) {
+            return peer.kind() != PeerException.Kind.QUEUE_FULL && peer.kind() != PeerException.Kind.REFUSED;
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PullServer.java
@@ -0,0 +1,56 @@
+package io.jaywick.node.peer;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.jaywick.core.message.Busy;
+import io.jaywick.core.message.DeltaReply;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PullRequest;
+import io.jaywick.core.message.UpToDate;
+
+/** Answers pulls of other nodes and limits the full transfers that run at the same time. */
+final class PullServer {
+
+    /** Full transfers served at the same time. */
+    static final int MAX_TRANSFERS = 4;
+
+    /** Time without a request after which a transfer is taken for abandoned. */
+    static final long ABANDONED_MILLIS = 2_000;
+
+    private static final long RETRY_AFTER_MILLIS = 200;
+
+    private final NodeState state;
+    private final Map<String, Long> transfers = new LinkedHashMap<>();
+
+    PullServer(NodeState state) {
+        this.state = state;
+    }
+
+    Message answer(PullRequest request) {
+        long revision = state.tracker.revision();
+        if (revision == 0 || request.haveRevision() >= revision) {
+            return new UpToDate(revision, state.tracker.hash());
+        }
+        if (!request.full()) {
+            DeltaReply delta = state.tracker.deltaFrom(request.haveRevision(), request.haveHash());
+            if (delta != null) {
+                return delta;
+            }
+        }
+        long now = state.loop.nowMillis();
+        transfers.values().removeIf(last -> now - last > ABANDONED_MILLIS);
+        if (transfers.size() >= MAX_TRANSFERS && !transfers.containsKey(request.from())) {
+            return new Busy(RETRY_AFTER_MILLIS);
+        }
+        // A transfer of an older revision starts anew with the active one.
+        int part = request.full() && request.fullRevision() == revision ? request.part() : 0;
+        var reply = state.tracker.transfer().part(part);
+        if (reply.part() + 1 == reply.parts()) {
+            transfers.remove(request.from());
+        } else {
+            transfers.put(request.from(), now);
+        }
+        return reply;
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Pusher.java
@@ -0,0 +1,62 @@
+package io.jaywick.node.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import io.jaywick.core.membership.Peer;
+import io.jaywick.core.membership.Rendezvous;
+import io.jaywick.core.membership.Roles;
+import io.jaywick.core.message.DeltaReply;
+
+/** Pushes deltas without being asked: the rejected strategies of docs/design-distribution.md, kept for comparison. */
+final class Pusher {
+
+    private static final int TREE_WIDTH = 8;
+
+    private final NodeState state;
+    private long previousRevision;
+    private String previousHash = "";
+
+    Pusher(NodeState state) {
+        this.state = state;
+    }
+
+    /** Pushes the last delta; returns false when there is none and the version must be announced. */
+    boolean push(Roles roles) {
+        DeltaReply delta = state.tracker.deltaFrom(previousRevision, previousHash);
+        previousRevision = state.tracker.revision();
+        previousHash = state.tracker.hash();
+        if (delta == null) {
+            return false;
+        }
+        List<Peer> receivers = state.config.strategy() == SpreadStrategy.FLOOD ? roles.neighbours() : children();
+        for (Peer peer : receivers) {
+            state.ask(peer, delta, Spreader.ANSWER_MILLIS, reply -> {});
+        }
+        return true;
+    }
+
+    /** Children of this node in a tree over the living members of its data centre, whose root is the first relay. */
+    private List<Peer> children() {
+        String dataCentre = state.membership.self().dataCentre();
+        List<Peer> members = new ArrayList<>();
+        for (Peer peer : state.membership.peers()) {
+            if (peer.dataCentre().equals(dataCentre) && state.membership.isAlive(peer)) {
+                members.add(peer);
+            }
+        }
+        members.sort(Comparator.comparingLong((Peer peer) -> Rendezvous.score("relay", peer.server()))
+                .reversed());
+        int own = state.roles().relayRank();
+        List<Peer> children = new ArrayList<>(TREE_WIDTH);
+        for (int i = 1; i <= TREE_WIDTH; i++) {
+            // Positions count this node as well, which is not in the list.
+            int position = own * TREE_WIDTH + i;
+            if (position - 1 < members.size()) {
+                children.add(members.get(position - 1));
+            }
+        }
+        return children;
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
@@ -0,0 +1,296 @@
+package io.jaywick.node.peer;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+import io.jaywick.core.distribution.PullPlan.Holder;
+import io.jaywick.core.membership.Peer;
+import io.jaywick.core.membership.Roles;
+import io.jaywick.core.message.Announce;
+import io.jaywick.core.message.Digest;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.message.UpToDate;
+
+/** Tells other nodes which version this one holds, and compares versions with them every second. */
+final class Spreader {
+
+    /** Foreign entries in one digest. */
+    static final int EXCHANGED_ENTRIES = 3;
+
+    /** Time after which a digest counts as unanswered. */
+    static final long ANSWER_MILLIS = 2_000;
+
+    /** One digest in so many goes to a random member of the data centre instead of a neighbour. */
+    private static final int RANDOM_ONE_IN = 4;
+
+    private final NodeState state;
+    private final Puller puller;
+    private final SourceWatcher watcher;
+    private final SuspectExchange suspects;
+    private final Pusher pusher;
+    private int turn;
+
+    Spreader(NodeState state, Puller puller, SourceWatcher watcher, SuspectExchange suspects) {
+        this.state = state;
+        this.puller = puller;
+        this.watcher = watcher;
+        this.suspects = suspects;
+        this.pusher = new Pusher(state);
+    }
+
+    /** One round of digests and checks of those that rank above this node. */
+    void tick() {
+        Roles roles = state.roles();
+        turn++;
+        List<Peer> neighbours = roles.neighbours();
+        if (neighbours.isEmpty() || turn % RANDOM_ONE_IN == 0) {
+            digestTo(randomPeer(true));
+        } else {
+            digestTo(neighbours.get(turn % neighbours.size()));
+        }
+        if (state.random.nextInt(roles.aliveInDataCentre()) == 0) {
+            digestTo(randomPeer(false));
+        }
+        probeRelays(roles);
+        checkAbove(roles.relaysAbove(), roles.relayRank());
+        if (state.isInSourceRegion()) {
+            checkAbove(roles.readersAbove(), roles.readerRank());
+        }
+    }
+
+    /** Tells others of the version just adopted. */
+    void adopted(boolean fromSource) {
+        if (state.config.strategy() == SpreadStrategy.NAIVE) {
+            return;
+        }
+        Roles roles = state.roles();
+        Announce announce = announce();
+        if (state.config.strategy() == SpreadStrategy.ANNOUNCE || !pusher.push(roles)) {
+            roles.neighbours().forEach(peer -> send(peer, announce));
+        }
+        long backup = state.config.peers().relayBackupMillis();
+        if (fromSource || roles.relayRank() == 0) {
+            announceInRegion(roles, announce);
+        } else if (roles.relayRank() == 1) {
+            state.loop.after(backup, () -> announceInRegion(state.roles(), announce()));
+        }
+        if (roles.regionRelayRank() == 0) {
+            announceAcross(announce, 0);
+            state.loop.after(backup, () -> announceAcross(announce(), 1));
+        } else if (roles.regionRelayRank() == 1) {
+            state.loop.after(backup, () -> announceAcross(announce(), 0));
+        }
+    }
+
+    /** Answers a digest with one of this node, so that a single exchange informs both. */
+    Message answer(Digest digest) {
+        takeDigest(digest);
+        String region = regionOf(digest.from());
+        return digest(region);
+    }
+
+    /** Answers an announcement with the version of this node. */
+    Message answer(Announce announce) {
+        state.contacted(announce.from());
+        Peer peer = state.membership.peer(announce.from());
+        if (peer != null) {
+            compare(announce.revision(), announce.hash(), peer);
+        }
+        return new UpToDate(state.tracker.revision(), state.tracker.hash());
+    }
+
+    /** Asks a peer of which only the address is known. */
+    void digestTo(String address) {
+        state.ask(address, digest(""), ANSWER_MILLIS, (reply, failure) -> {
+            if (reply instanceof Digest digest) {
+                takeDigest(digest);
+            }
+        });
+    }
+
+    void digestTo(Peer peer) {
+        if (peer == null) {
+            seeds();
+            return;
+        }
+        String server = peer.server();
+        state.ask(peer, digest(peer.region()), ANSWER_MILLIS, reply -> {
+            if (reply instanceof Digest digest) {
+                if (!digest.from().equals(server)) {
+                    // Another server took over the address.
+                    state.membership.failed(server);
+                }
+                takeDigest(digest);
+            }
+        });
+    }
+
+    /** A random server of the own data centre or of another one; suspects are tried when nobody is alive. */
+    Peer randomPeer(boolean ownDataCentre) {
+        String dataCentre = state.membership.self().dataCentre();
+        Peer alive = null;
+        Peer suspect = null;
+        int aliveCount = 0;
+        int suspectCount = 0;
+        for (Peer peer : state.membership.peers()) {
+            if (peer.dataCentre().equals(dataCentre) != ownDataCentre) {
+                continue;
+            }
+            if (state.membership.isAlive(peer)) {
+                aliveCount++;
+                alive = state.random.nextInt(aliveCount) == 0 ? peer : alive;
+            } else {
+                suspectCount++;
+                suspect = state.random.nextInt(suspectCount) == 0 ? peer : suspect;
+            }
+        }
+        // Suspects get a share as well, so that a healed partition or a recovered server is noticed.
+        boolean trySuspect = suspect != null && (alive == null || state.random.nextInt(RANDOM_ONE_IN) == 0);
+        return trySuspect ? suspect : alive;
+    }
+
+    private void seeds() {
+        List<String> seeds = state.config.peers().seedAddresses();
+        if (!seeds.isEmpty()) {
+            String seed = seeds.get(state.random.nextInt(seeds.size()));
+            if (!seed.equals(state.membership.self().peerAddress())) {
+                digestTo(seed);
+            }
+        }
+    }
+
+    private void probeRelays(Roles roles) {
+        if (roles.regionRelayRank() == 0) {
+            probe(
+                    roles.relaysByRegion(),
+                    roles.suspectsByRegion(),
+                    state.membership.self().region());
+        }
+        if (roles.relayRank() == 0) {
+            probe(
+                    inRegion(roles),
+                    roles.suspectsByDataCentre(),
+                    state.membership.self().dataCentre());
+        }
+    }
+
+    private void probe(Map<String, List<Peer>> relays, Map<String, Peer> suspectsByPlace, String own) {
+        relays.forEach((place, peers) -> {
+            if (!place.equals(own)) {
+                send(peers.get(0), announce());
+            }
+        });
+        suspectsByPlace.forEach((place, peer) -> {
+            if (!place.equals(own) && !relays.containsKey(place)) {
+                send(peer, announce());
+            }
+        });
+    }
+
+    /**
+     * Checks whether a server that ranks above this one still lives. The first candidates do so every second; of the
+     * others each does so with a probability that falls with its rank, which keeps the load on the first ones bounded.
+     */
+    private void checkAbove(List<Peer> above, int rank) {
+        if (rank == 0 || above.isEmpty()) {
+            return;
+        }
+        if (rank <= Roles.CANDIDATES || state.random.nextInt(rank) < 2) {
+            check(above, state.random.nextInt(above.size()), above.size());
+        }
+    }
+
+    private void check(List<Peer> above, int index, int left) {
+        if (left > 0) {
+            send(above.get(index), announce(), () -> check(above, (index + 1) % above.size(), left - 1));
+        }
+    }
+
+    private void announceInRegion(Roles roles, Announce announce) {
+        inRegion(roles).values().forEach(relays -> relays.forEach(peer -> send(peer, announce)));
+    }
+
+    private Map<String, List<Peer>> inRegion(Roles roles) {
+        Map<String, List<Peer>> result = new TreeMap<>(roles.relaysByDataCentre());
+        String region = state.membership.self().region();
+        result.values().removeIf(relays -> !relays.get(0).region().equals(region));
+        return result;
+    }
+
+    private void announceAcross(Announce announce, int relay) {
+        String own = state.membership.self().region();
+        state.roles().relaysByRegion().forEach((region, relays) -> {
+            if (!region.equals(own) && relay < relays.size()) {
+                send(relays.get(relay), announce);
+            }
+        });
+    }
+
+    private void send(Peer peer, Announce announce) {
+        send(peer, announce, () -> {});
+    }
+
+    private void send(Peer peer, Announce announce, Runnable onFailure) {
+        Consumer<Message> onReply = reply -> {
+            if (reply instanceof UpToDate other) {
+                compare(other.revision(), other.hash(), peer);
+            }
+        };
+        state.ask(peer, announce, ANSWER_MILLIS, onReply, onFailure);
+    }
+
+    private void takeDigest(Digest digest) {
+        List<PeerEntry> entries = digest.peers();
+        if (!entries.isEmpty() && entries.get(0).server().equals(digest.from())) {
+            state.membership.heard(entries.get(0));
+            entries = new ArrayList<>(entries.subList(1, entries.size()));
+        }
+        state.membership.learned(entries);
+        state.contacted(digest.from());
+        suspects.incoming(digest.suspects());
+        Peer peer = state.membership.peer(digest.from());
+        if (peer != null) {
+            compare(digest.revision(), digest.hash(), peer);
+        }
+    }
+
+    private void compare(long revision, String hash, Peer peer) {
+        if (revision > 0) {
+            watcher.peerHasVersion();
+        }
+        puller.consider(new Holder(revision, hash, peer.server(), peer.address()), delayOf(peer));
+    }
+
+    /** The first relay of a region pulls at once over a regional link; the others give it time to do so. */
+    private long delayOf(Peer peer) {
+        PeerEntry self = state.membership.self();
+        if (state.tracker.active() == null || peer.dataCentre().equals(self.dataCentre())) {
+            return 0;
+        }
+        boolean sameRegion = peer.region().equals(self.region());
+        int rank = sameRegion ? state.roles().relayRank() : state.roles().regionRelayRank();
+        return state.config.peers().relayBackupMillis() * Math.min(rank, 2);
+    }
+
+    private String regionOf(String server) {
+        Peer peer = state.membership.peer(server);
+        return peer == null ? "" : peer.region();
+    }
+
+    private Announce announce() {
+        return new Announce(state.self(), state.tracker.revision(), state.tracker.hash());
+    }
+
+    private Digest digest(String region) {
+        return new Digest(
+                state.self(),
+                state.tracker.revision(),
+                state.tracker.hash(),
+                state.membership.exchange(EXCHANGED_ENTRIES),
+                suspects.outgoing(region));
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/source/InstanceEntry.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/InstanceEntry.java
@@ -3,7 +3,8 @@
 /**
  * One instance as the platform lists it.
  *
- * @param state {@code live} or {@code leaving}
+ * @param peerAddress HOST:PORT for frames
+ * @param ingressAddress HOST:PORT for calls
  */
 public record InstanceEntry(
         String server,
@@ -12,4 +13,4 @@
         String service,
         String peerAddress,
         String ingressAddress,
-        String state) {}
+        InstanceState state) {}
--- a/jaywick-node/src/main/java/io/jaywick/node/source/InstanceList.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/InstanceList.java
@@ -3,9 +3,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
-/** Reads the platform's list of instances. It lags and may be wrong. */
+/** The platform's list of live and leaving instances. It lags and may be wrong. */
 @FunctionalInterface
 public interface InstanceList {
 
+    /** Returns the current list. The future fails with a {@link SourceException}. */
     CompletableFuture<List<InstanceEntry>> list();
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/source/SourceValue.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/SourceValue.java
@@ -1,8 +1,8 @@
 package io.jaywick.node.source;
 
 /**
- * One value of the configuration service.
+ * A published value.
  *
- * @param content the packed table
+ * @param content packed table of at most 1 MB; not to be modified
  */
 public record SourceValue(long revision, byte[] content) {}
--- a/jaywick-node/src/main/java/io/jaywick/node/source/package-info.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/package-info.java
@@ -1,4 +1,2 @@
-/**
- * The configuration service and the instance list.
- */
+/** Clients of the configuration service and the instance list. */
 package io.jaywick.node.source;
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/FakeSource.java
@@ -0,0 +1,95 @@
+package io.jaywick.node.peer;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.node.source.ConfigSource;
+import io.jaywick.node.source.SourceException;
+import io.jaywick.node.source.SourceValue;
+import reactor.test.scheduler.VirtualTimeScheduler;
+
+/** A configuration service in memory that can be down, hang, be stale or go back. */
+final class FakeSource {
+
+    private final VirtualTimeScheduler time;
+    private final List<Watch> watches = new ArrayList<>();
+    final Map<Long, Integer> callsBySecond = new TreeMap<>();
+    SourceValue value;
+    boolean down;
+    boolean hangs;
+    int calls;
+
+    FakeSource(VirtualTimeScheduler time) {
+        this.time = time;
+    }
+
+    void publish(long revision, String text) {
+        publish(revision, TestTable.packed(text));
+    }
+
+    void publish(long revision, byte[] content) {
+        value = new SourceValue(revision, content);
+        for (Iterator<Watch> i = List.copyOf(watches).iterator(); i.hasNext(); ) {
+            Watch watch = i.next();
+            if (watch.after < revision) {
+                watches.remove(watch);
+                watch.future.complete(value);
+            }
+        }
+    }
+
+    /** Fails every call that hangs or waits. */
+    void breakWaiting() {
+        List<Watch> broken = List.copyOf(watches);
+        watches.clear();
+        broken.forEach(watch -> watch.future.completeExceptionally(failure()));
+    }
+
+    int maxCallsInOneSecond() {
+        return callsBySecond.values().stream().mapToInt(Integer::intValue).max().orElse(0);
+    }
+
+    /** The service as a node reaches it. */
+    ConfigSource view(java.util.function.BooleanSupplier reachable) {
+        return new ConfigSource() {
+            @Override
+            public CompletableFuture<SourceValue> read() {
+                return call(-1, reachable.getAsBoolean(), true);
+            }
+
+            @Override
+            public CompletableFuture<SourceValue> watch(long afterRevision) {
+                return call(afterRevision, reachable.getAsBoolean(), false);
+            }
+        };
+    }
+
+    private CompletableFuture<SourceValue> call(long after, boolean reachable, boolean read) {
+        calls++;
+        callsBySecond.merge(time.now(TimeUnit.MILLISECONDS) / 1_000, 1, Integer::sum);
+        if (down || !reachable) {
+            return CompletableFuture.failedFuture(failure());
+        }
+        if (!hangs && value != null && (read || value.revision() > after)) {
+            return CompletableFuture.completedFuture(value);
+        }
+        Watch watch = new Watch(read ? -1 : after, new CompletableFuture<>());
+        watches.add(watch);
+        watch.future.whenComplete((v, e) -> watches.remove(watch));
+        if (!hangs) {
+            time.schedule(() -> watch.future.complete(null), 30, TimeUnit.SECONDS);
+        }
+        return watch.future;
+    }
+
+    private static SourceException failure() {
+        return new SourceException(SourceException.Kind.UNREACHABLE, "down");
+    }
+
+    private record Watch(long after, CompletableFuture<SourceValue> future) {}
+}
