Test the failures of source, peers and regions on virtual time

Many node cores run on a virtual clock with a fake link. The tests cause a stale, lost, hanging and restored source, bad values, pauses, lost and stuck peers, partitions of an hour and wrong instance lists.

A region other than the source's now waits only one interval at the source, so that no watch is left open over a paid link.

--- a/jaywick-node/src/main/java/io/jaywick/node/peer/SourceWatcher.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/SourceWatcher.java
@@ -125,7 +125,9 @@
         calling = true;
         calls++;
         budget.started(now);
-        long timeout = look ? LOOK_WAIT_MILLIS : CALL_TIMEOUT_MILLIS;
+        // Another region asks the source only until a peer of the source's region is back, so it does not wait long.
+        long wait = state.isInSourceRegion() ? CALL_TIMEOUT_MILLIS : budget.intervalMillis(state.fleetSize());
+        long timeout = look ? LOOK_WAIT_MILLIS : wait;
         CompletableFuture<SourceValue> future;
         boolean reads = !look && (state.tracker.active() == null || now - readMillis > READ_MILLIS);
         VersionTracker.RejectedVersion rejected = state.tracker.rejected();
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/FakeSource.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/FakeSource.java
@@ -7,6 +7,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.jaywick.node.source.ConfigSource;
 import io.jaywick.node.source.SourceException;
@@ -38,7 +39,11 @@
             Watch watch = i.next();
             if (watch.after < revision) {
                 watches.remove(watch);
-                watch.future.complete(value);
+                if (watch.reachable.getAsBoolean()) {
+                    watch.future.complete(value);
+                } else {
+                    watch.future.completeExceptionally(failure());
+                }
             }
         }
     }
@@ -55,30 +60,30 @@
     }
 
     /** The service as a node reaches it. */
-    ConfigSource view(java.util.function.BooleanSupplier reachable) {
+    ConfigSource view(BooleanSupplier reachable) {
         return new ConfigSource() {
             @Override
             public CompletableFuture<SourceValue> read() {
-                return call(-1, reachable.getAsBoolean(), true);
+                return call(-1, reachable, true);
             }
 
             @Override
             public CompletableFuture<SourceValue> watch(long afterRevision) {
-                return call(afterRevision, reachable.getAsBoolean(), false);
+                return call(afterRevision, reachable, false);
             }
         };
     }
 
-    private CompletableFuture<SourceValue> call(long after, boolean reachable, boolean read) {
+    private CompletableFuture<SourceValue> call(long after, BooleanSupplier reachable, boolean read) {
         calls++;
         callsBySecond.merge(time.now(TimeUnit.MILLISECONDS) / 1_000, 1, Integer::sum);
-        if (down || !reachable) {
+        if (down || !reachable.getAsBoolean()) {
             return CompletableFuture.failedFuture(failure());
         }
         if (!hangs && value != null && (read || value.revision() > after)) {
             return CompletableFuture.completedFuture(value);
         }
-        Watch watch = new Watch(read ? -1 : after, new CompletableFuture<>());
+        Watch watch = new Watch(read ? -1 : after, reachable, new CompletableFuture<>());
         watches.add(watch);
         watch.future.whenComplete((v, e) -> watches.remove(watch));
         if (!hangs) {
@@ -91,5 +96,5 @@
         return new SourceException(SourceException.Kind.UNREACHABLE, "down");
     }
 
-    private record Watch(long after, CompletableFuture<SourceValue> future) {}
+    private record Watch(long after, BooleanSupplier reachable, CompletableFuture<SourceValue> future) {}
 }
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/PartitionTestCase.java
@@ -0,0 +1,90 @@
+package io.jaywick.node.peer;
+
+import java.util.List;
+
+import io.jaywick.node.peer.TestFleet.Node;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+class PartitionTestCase {
+
+    private static final long HOUR_MILLIS = 3_600_000;
+    private static final long BYTES_PER_SECOND = 8_192;
+
+    private final TestFleet fleet = new TestFleet(13);
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private void healAndCheck(long revision) {
+        fleet.nodes.values().forEach(node -> node.bytes = 0);
+        fleet.countBytes = true;
+        fleet.connected = (from, to) -> true;
+        fleet.reachesSource = node -> true;
+        long taken = fleet.converge(revision, 8_000);
+        System.out.println("healed after " + taken + " ms");
+        fleet.advance(10_000 - taken);
+        fleet.nodes.values().forEach(node -> assertThat(node.server, node.bytes / 10, is(lessThan(BYTES_PER_SECOND))));
+    }
+
+    @Test
+    void regionsAreCutOffForAnHourAndHeal() {
+        fleet.startThreeRegions(6);
+        fleet.connected = (from, to) -> from.region.equals(to.region);
+        fleet.reachesSource = node -> node.region.equals("r1");
+        for (int revision = 2; revision <= 40; revision++) {
+            fleet.source.publish(revision, "text" + revision);
+            fleet.converge(revision, 8_000, fleet.inRegion("r1"));
+            fleet.advance(HOUR_MILLIS / 39);
+        }
+        assertThat(fleet.inRegion("r2").stream().allMatch(node -> node.revision() == 1), is(true));
+        healAndCheck(40);
+        fleet.source.publish(41, "next");
+        fleet.converge(41, 8_000);
+    }
+
+    /** Guards against a part of the source's region that waits for readers on the other side. */
+    @Test
+    void sourceRegionSplitInsideKeepsBothSidesCurrentAndHeals() {
+        fleet.startThreeRegions(6);
+        fleet.connected = (from, to) -> side(from) == side(to);
+        fleet.advance(HOUR_MILLIS);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+        fleet.advance(HOUR_MILLIS / 4);
+        healAndCheck(2);
+    }
+
+    private static boolean side(Node node) {
+        return node.server.endsWith("1") || node.server.endsWith("2");
+    }
+
+    /** Guards against regions that stay behind although they could reach the source themselves. */
+    @Test
+    void otherRegionReadsTheSourceWhenItsRegionIsUnreachable() {
+        fleet.startThreeRegions(6);
+        fleet.connected = (from, to) -> from.region.equals(to.region);
+        fleet.advance(60_000);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+        fleet.inRegion("r1").forEach(Node::stop);
+        fleet.connected = (from, to) -> true;
+        fleet.advance(30_000);
+        fleet.source.publish(3, "three");
+        fleet.converge(3, 8_000, List.copyOf(fleet.inRegion("r2")));
+    }
+
+    @Test
+    void wholeSourceRegionDiesInTheMomentOfAnEdit() {
+        fleet.startThreeRegions(6);
+        fleet.inRegion("r1").forEach(Node::stop);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/SourceFailureTestCase.java
@@ -0,0 +1,222 @@
+package io.jaywick.node.peer;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import io.jaywick.node.peer.TestFleet.Node;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class SourceFailureTestCase {
+
+    private static final int BUDGET = 2_000;
+
+    private final TestFleet fleet = new TestFleet(12);
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private void restart(List<Node> nodes) {
+        nodes.forEach(Node::stop);
+        nodes.forEach(Node::start);
+    }
+
+    @Test
+    void restartedNodeTakesTheNewerVersionOfItsPeersOverAStaleSource() {
+        fleet.startThreeRegions(6);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+        fleet.source.publish(1, "one");
+        Node node = fleet.nodes.get("r1a-s1");
+        restart(List.of(node));
+        fleet.advance(60_000);
+        assertThat(node.adopted, is(List.of(2L)));
+    }
+
+    @Test
+    void wholeDataCentreRestartsWhileTheSourceIsDown() {
+        fleet.startThreeRegions(8);
+        fleet.source.down = true;
+        fleet.source.breakWaiting();
+        restart(fleet.inDataCentre("r1a"));
+        fleet.converge(1, 8_000);
+        fleet.source.down = false;
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+
+    /** Guards against a bad newest value that leaves new nodes without a table or hides later versions. */
+    @Test
+    void dataCentreRestartsWhileTheNewestValueIsBad() {
+        fleet.startThreeRegions(8);
+        fleet.source.publish(2, "bad");
+        fleet.advance(10_000);
+        restart(fleet.inDataCentre("r1a"));
+        fleet.converge(1, 8_000);
+        assertThat(fleet.nodes.values().stream().noneMatch(node -> node.adopted.contains(2L)), is(true));
+        fleet.source.publish(3, "three");
+        fleet.converge(3, 8_000);
+        fleet.source.publish(4, "bad again");
+        fleet.source.publish(5, "five");
+        fleet.converge(5, 8_000);
+    }
+
+    /** Guards against a watch above a rejected revision that never sees the source go back below it. */
+    @Test
+    void editBelowARejectedRevisionIsTakenUp() {
+        fleet.startThreeRegions(6);
+        fleet.source.publish(1_000, "bad");
+        fleet.advance(10_000);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+
+    @Test
+    void sourceRestoredToAnOlderRevisionIsIgnoredAndShown() {
+        fleet.startThreeRegions(6);
+        fleet.source.publish(5, "five");
+        fleet.converge(5, 8_000);
+        fleet.source.publish(3, "three");
+        fleet.advance(SourceWatcher.READ_MILLIS + 60_000);
+        assertThat(fleet.nodes.values().stream().allMatch(node -> node.revision() == 5), is(true));
+        assertThat(
+                fleet.nodes.values().stream()
+                        .anyMatch(node -> node.service.status().source().behind()),
+                is(true));
+        fleet.source.publish(6, "six");
+        fleet.converge(6, 8_000);
+    }
+
+    /** Guards against two contents under one revision that make nodes alternate between them. */
+    @Test
+    void twoContentsUnderOneRevisionAreCountedAndTheNextRevisionResolvesThem() {
+        fleet.startThreeRegions(6);
+        fleet.connected = (from, to) -> from.region.equals(to.region);
+        fleet.reachesSource = node -> node.region.equals("r1");
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000, fleet.inRegion("r1"));
+        fleet.source.publish(2, "other two");
+        fleet.reachesSource = node -> !node.region.equals("r1");
+        fleet.advance(30_000);
+        fleet.connected = (from, to) -> true;
+        fleet.reachesSource = node -> true;
+        fleet.advance(30_000);
+        assertThat(fleet.nodes.values().stream().allMatch(node -> node.revision() == 2), is(true));
+        assertThat(
+                fleet.nodes.values().stream()
+                        .mapToLong(node -> node.service.status().conflicts())
+                        .sum(),
+                is(greaterThan(0L)));
+        fleet.source.publish(3, "three");
+        fleet.converge(3, 8_000);
+        assertThat(
+                fleet.nodes.values().stream()
+                        .map(node -> node.service.snapshot().hash())
+                        .distinct()
+                        .count(),
+                is(1L));
+    }
+
+    @Test
+    void nodeThatStartsAloneTakesTheSourcesValue() {
+        fleet.roster("r2", "r2a", 3);
+        fleet.source.publish(7, "seven");
+        Node node = fleet.nodes.get("r2a-s1");
+        node.start();
+        fleet.converge(7, 8_000);
+    }
+
+    @Test
+    void nodeThatStartsAloneWithABadValueHasNoVersionUntilAGoodOne() {
+        fleet.roster("r1", "r1a", 3);
+        fleet.source.publish(7, "bad");
+        Node node = fleet.nodes.get("r1a-s1");
+        node.start();
+        fleet.advance(20_000);
+        assertThat(node.revision(), is(0L));
+        assertThat(node.service.status().rejected().revision(), is(7L));
+        fleet.source.publish(8, "eight");
+        fleet.converge(8, 8_000);
+    }
+
+    /** Guards against timers and messages from before a pause that take a node back or make it call the source. */
+    @Test
+    void processPausedForMinutesWakesWithOldTimersAndMessages() {
+        fleet.startThreeRegions(6);
+        Node node = SpreadTestCase.byScore("reader", fleet.inRegion("r1")).get(0);
+        fleet.source.publish(2, "two");
+        node.pause();
+        fleet.advance(180_000);
+        fleet.source.publish(3, "three");
+        fleet.advance(120_000);
+        int calls = fleet.source.calls;
+        node.resume();
+        fleet.converge(3, 8_000);
+        assertThat(node.adopted.get(node.adopted.size() - 1), is(3L));
+        assertThat(node.adopted, is(node.adopted.stream().sorted().distinct().toList()));
+        assertThat(fleet.source.calls - calls, is(lessThanOrEqualTo(12)));
+    }
+
+    /** The design size without any membership, which is the worst case for the source. */
+    @Test
+    void allNodesStartAtOnceWithEmptyViewsAndTheSourceUp() {
+        startAlone(3_700);
+        fleet.source.publish(1, "one");
+        fleet.advance(20_000);
+        assertThat(fleet.nodes.values().stream().allMatch(node -> node.revision() == 1), is(true));
+        for (int revision = 2; revision < 5; revision++) {
+            fleet.source.publish(revision, "text" + revision);
+            fleet.advance(8_000);
+        }
+        report();
+    }
+
+    @Test
+    void allNodesStartAtOnceWithEmptyViewsAndTheSourceDownAndBack() {
+        startAlone(3_700);
+        fleet.source.publish(1, "one");
+        fleet.source.down = true;
+        fleet.advance(20_000);
+        fleet.source.down = false;
+        fleet.source.hangs = true;
+        fleet.advance(20_000);
+        fleet.source.hangs = false;
+        fleet.source.breakWaiting();
+        fleet.advance(20_000);
+        assertThat(fleet.nodes.values().stream().allMatch(node -> node.revision() == 1), is(true));
+        report();
+    }
+
+    /** Guards against a service that answers every wait at once with nothing. */
+    @Test
+    void wholeFleetRestartsWithACompleteListAndFewNodesCallTheSource() {
+        fleet.startThreeRegions(30);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+        fleet.source.callsBySecond.clear();
+        restart(List.copyOf(fleet.nodes.values()));
+        fleet.converge(2, 20_000);
+        int most = fleet.source.maxCallsInOneSecond();
+        System.out.println("most source calls in one second at a restart of 180 nodes: " + most);
+        assertThat(most, is(lessThan(180 / 2)));
+    }
+
+    private void startAlone(int servers) {
+        fleet.roster("r1", "r1a", servers);
+        fleet.nodes.values().forEach(node -> node.start(() -> CompletableFuture.completedFuture(List.of())));
+    }
+
+    private void report() {
+        int most = fleet.source.maxCallsInOneSecond();
+        System.out.println("most source calls in one second at 3,700 nodes: " + most);
+        assertThat(most, is(lessThan(BUDGET)));
+    }
+}
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/SpreadTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/SpreadTestCase.java
@@ -1,12 +1,20 @@
 package io.jaywick.node.peer;
 
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 
+import io.jaywick.core.membership.Rendezvous;
+import io.jaywick.node.peer.TestFleet.Node;
+import io.jaywick.node.source.InstanceEntry;
+import io.jaywick.node.source.InstanceState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -19,29 +27,154 @@
         fleet.close();
     }
 
-    private void startThreeRegions(int servers) {
+    @Test
+    void editReachesEveryNodeInOrderWithinASecond() {
+        fleet.startThreeRegions(10);
+        for (int revision = 2; revision <= 6; revision++) {
+            fleet.source.publish(revision, "text" + revision);
+            assertThat(fleet.converge(revision, 8_000), is(lessThan(1_000L)));
+            fleet.advance(500);
+        }
+        fleet.nodes.values().forEach(node -> {
+            List<Long> sorted = new ArrayList<>(node.adopted);
+            sorted.sort(null);
+            assertThat(node.adopted, is(sorted));
+        });
+    }
+
+    /** Guards against an edit that waits for one dead, slow or stuck peer, whatever its role. */
+    @Test
+    void stuckAndDeadPeersDelayNoOther() {
+        fleet.startThreeRegions(10);
+        List<Node> lost = new ArrayList<>();
+        for (String dataCentre : List.of("r1a", "r1b", "r2a", "r2b")) {
+            List<Node> byRank = byScore("relay", fleet.inDataCentre(dataCentre));
+            fleet.stuck.add(byRank.get(0).server);
+            byRank.get(1).stop();
+            lost.add(byRank.get(0));
+        }
+        fleet.source.publish(2, "two");
+        List<Node> rest = new ArrayList<>(fleet.nodes.values());
+        rest.removeIf(node -> !node.isUp() || lost.contains(node));
+        assertThat(fleet.converge(2, 8_000, rest), is(lessThan(8_000L)));
+    }
+
+    @Test
+    void bothReadersDieInTheMomentOfAnEdit() {
+        fleet.startThreeRegions(10);
+        byScore("reader", fleet.inRegion("r1")).subList(0, 2).forEach(Node::stop);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+
+    /** Guards against roles that a whole rack held, so that nobody left takes itself for their holder. */
+    @Test
+    void allCandidatesOfEveryRoleDieTogether() {
+        fleet.startThreeRegions(12);
+        byScore("reader", fleet.inRegion("r1")).subList(0, 8).forEach(Node::stop);
+        for (String dataCentre : List.of("r1a", "r1b", "r2a", "r2b", "r3a", "r3b")) {
+            byScore("relay", fleet.inDataCentre(dataCentre)).subList(0, 4).forEach(Node::stop);
+        }
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+
+    @Test
+    void relayDiesWhileItSpreads() {
+        fleet.startThreeRegions(10);
+        fleet.source.publish(2, "two");
+        fleet.advance(LATE_ENOUGH_TO_PULL_MILLIS);
         for (String region : List.of("r1", "r2", "r3")) {
-            fleet.roster(region, region + "a", servers);
-            fleet.roster(region, region + "b", servers);
+            byScore("relay", fleet.inRegion(region)).get(0).stop();
         }
+        fleet.converge(2, 8_000);
+    }
+
+    private static final long LATE_ENOUGH_TO_PULL_MILLIS = 14;
+
+    /** Guards against a spread that only works while all nodes agree on the relays. */
+    @Test
+    void nodesWithDifferentViewsConverge() {
+        fleet.roster("r1", "r1a", 12);
+        fleet.roster("r2", "r2a", 12);
         fleet.source.publish(1, "one");
-        fleet.startAll();
+        List<InstanceEntry> all = List.copyOf(fleet.list);
+        int shift = 0;
+        for (Node node : fleet.nodes.values()) {
+            List<InstanceEntry> part = new ArrayList<>();
+            for (int i = 0; i < all.size(); i += 3) {
+                part.add(all.get((i + shift) % all.size()));
+            }
+            shift++;
+            node.start(() -> CompletableFuture.completedFuture(part));
+        }
         fleet.converge(1, 20_000);
-        fleet.advance(10_000);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
     }
 
+    /** Guards against a node whose neighbours all answer with an old version or not at all. */
     @Test
-    void editReachesEveryNodeWithinASecond() {
-        startThreeRegions(10);
-        for (int revision = 2; revision <= 6; revision++) {
-            fleet.source.publish(revision, "text" + revision);
-            assertThat(fleet.converge(revision, 8_000), is(lessThan(1_000L)));
-            fleet.advance(500);
+    void nodeWhoseNeighboursAreAllWrongConverges() {
+        fleet.startThreeRegions(12);
+        Node node = fleet.inDataCentre("r2a").get(3);
+        List<Node> others = new ArrayList<>(fleet.inDataCentre("r2a"));
+        others.remove(node);
+        others.sort((a, b) ->
+                Long.compare(Rendezvous.pairScore(node.server, b.server), Rendezvous.pairScore(node.server, a.server)));
+        Set<Node> wrong = new HashSet<>(others.subList(0, 8));
+        fleet.connected = (from, to) -> !(from == node && wrong.contains(to) || wrong.contains(from) && to == node);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+    }
+
+    @Test
+    void listWithDeadAndWithoutLiveNodesIsMadeUpForByPeers() {
+        fleet.roster("r1", "r1a", 12);
+        fleet.roster("r2", "r2a", 12);
+        fleet.source.publish(1, "one");
+        List<InstanceEntry> stale = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            stale.add(new InstanceEntry(
+                    "gone" + i, "r1a", "r1", "svc", "gone" + i + ":1", "gone" + i + ":2", InstanceState.LIVE));
         }
-        fleet.nodes
-                .values()
-                .forEach(node -> assertThat(
-                        node.adopted.subList(node.adopted.size() - 5, node.adopted.size()),
-                        contains(2L, 3L, 4L, 5L, 6L)));
+        stale.addAll(fleet.list.subList(0, 3));
+        fleet.nodes.values().forEach(node -> node.start(() -> CompletableFuture.completedFuture(stale)));
+        fleet.converge(1, 20_000);
+        fleet.advance(20_000);
+        fleet.source.publish(2, "two");
+        fleet.converge(2, 8_000);
+        Node any = fleet.nodes.get("r2a-s12");
+        assertThat(any.service.membership().members().size(), is(greaterThan(20)));
+    }
+
+    /** Guards against a joining node that nobody hears of until the next read of the instance list. */
+    @Test
+    void newInstanceIsKnownWithoutTheInstanceList() {
+        fleet.startThreeRegions(6);
+        fleet.roster("r1", "r1a", 7);
+        Node joined = fleet.nodes.get("r1a-s7");
+        joined.start();
+        fleet.advance(60_000);
+        long knowing = fleet.nodes.values().stream()
+                .filter(node -> node.isUp()
+                        && node.service.membership().member(joined.server).isPresent())
+                .count();
+        assertThat(knowing, is(37L));
+    }
+
+    /** Guards against quiet traffic that grows with the fleet. */
+    @Test
+    void quietTrafficStaysBelowEightKilobytesASecond() {
+        fleet.startThreeRegions(20);
+        fleet.countBytes = true;
+        fleet.advance(20_000);
+        fleet.nodes.values().forEach(node -> assertThat(node.server, node.bytes / 20, is(lessThan(8_192L))));
+    }
+
+    static List<Node> byScore(String purpose, List<Node> nodes) {
+        List<Node> sorted = new ArrayList<>(nodes);
+        sorted.sort((a, b) -> Long.compare(Rendezvous.score(purpose, b.server), Rendezvous.score(purpose, a.server)));
+        return sorted;
     }
 }
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
@@ -55,6 +55,9 @@
     void roster(String region, String dataCentre, int servers) {
         for (int i = 1; i <= servers; i++) {
             String server = dataCentre + "-s" + i;
+            if (nodes.containsKey(server)) {
+                continue;
+            }
             table.addServer(server, dataCentre, region);
             nodes.put(server, new Node(server, dataCentre, region));
             list.add(new InstanceEntry(
@@ -62,6 +65,18 @@
         }
     }
 
+    /** Starts three regions of two data centres each and waits until they are quiet at revision 1. */
+    void startThreeRegions(int servers) {
+        for (String region : List.of("r1", "r2", "r3")) {
+            roster(region, region + "a", servers);
+            roster(region, region + "b", servers);
+        }
+        source.publish(1, "one");
+        startAll();
+        converge(1, 20_000);
+        advance(10_000);
+    }
+
     void startAll() {
         nodes.values().forEach(Node::start);
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TestTable.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TestTable.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -20,10 +21,12 @@
 
     private final Map<String, String> servers = new TreeMap<>();
     private final Map<String, DataCentre> dataCentres = new TreeMap<>();
-    private final Map<String, Snapshot> accepted = new java.util.HashMap<>();
+    private final Map<String, Snapshot> accepted = new HashMap<>();
+    private final Map<String, TableContent> contents = new HashMap<>();
 
     void addServer(String server, String dataCentre, String region) {
         servers.put(server, dataCentre);
+        contents.clear();
         dataCentres.put(dataCentre, new DataCentre(dataCentre, region, true));
     }
 
@@ -46,7 +49,8 @@
 
     @Override
     public CheckedVersion checkPacked(long revision, byte[] packed) {
-        return checkContent(revision, content(new String(packed, StandardCharsets.UTF_8)));
+        String text = new String(packed, StandardCharsets.UTF_8);
+        return checkContent(revision, contents.computeIfAbsent(text, this::content));
     }
 
     @Override
