--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/ProblemList.java
@@ -0,0 +1,37 @@
+package io.jaywick.core.table;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Collects problems up to {@link TableLimits#PROBLEMS} and counts the rest, so that memory stays bounded. */
+public final class ProblemList {
+
+    private final List<TableProblem> problems = new ArrayList<>();
+    private int further;
+
+    public void add(ProblemType type, Sheet sheet, int row, String column, String message) {
+        add(new TableProblem(type, sheet == null ? "" : sheet.sheetName(), row, column, message));
+    }
+
+    public void add(TableProblem problem) {
+        if (problems.size() < TableLimits.PROBLEMS) {
+            problems.add(problem);
+        } else {
+            further++;
+        }
+    }
+
+    public boolean isEmpty() {
+        return problems.isEmpty();
+    }
+
+    /** The listed problems, followed by one of type {@link ProblemType#FURTHER_PROBLEMS} when some were left out. */
+    public List<TableProblem> toList() {
+        List<TableProblem> result = new ArrayList<>(problems);
+        if (further > 0) {
+            result.add(new TableProblem(
+                    ProblemType.FURTHER_PROBLEMS, "", 0, "", further + " further problems are not listed"));
+        }
+        return List.copyOf(result);
+    }
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/table/Sheet.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/Sheet.java
@@ -1,5 +1,6 @@
 package io.jaywick.core.table;
 
+import java.util.Arrays;
 import java.util.List;
 
 /** The sheets of the table with their columns, in canonical order. See docs/design.md, section 3. */
@@ -61,6 +62,11 @@
         return columns;
     }
 
+    /** Names of all sheets in canonical order. */
+    public static List<String> names() {
+        return Arrays.stream(values()).map(Sheet::sheetName).toList();
+    }
+
     /** Returns the sheet with this name, or null. */
     public static Sheet byName(String name) {
         for (Sheet sheet : values()) {
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/SheetReader.java
@@ -0,0 +1,200 @@
+package io.jaywick.core.table;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.CharBuffer;
+import java.nio.charset.CharsetDecoder;
+import java.nio.charset.CoderResult;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.MappingIterator;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.dataformat.csv.CsvMapper;
+import com.fasterxml.jackson.dataformat.csv.CsvParser;
+
+/** Reads one sheet from bytes: encoding, header, rows and the characters of each field. */
+public final class SheetReader {
+
+    private static final ObjectReader ROWS =
+            CsvMapper.builder().enable(CsvParser.Feature.WRAP_AS_ARRAY).build().readerFor(String[].class);
+    private static final byte[] BYTE_ORDER_MARK = {(byte) 0xEF, (byte) 0xBB, (byte) 0xBF};
+
+    private final Sheet sheet;
+    private final ProblemList problems;
+
+    private SheetReader(Sheet sheet, ProblemList problems) {
+        this.sheet = sheet;
+        this.problems = problems;
+    }
+
+    /**
+     * Returns the rows that could be read, or null when the sheet as a whole cannot be, for example for its encoding or
+     * header. Every defect is added to the problems.
+     */
+    public static List<SheetRow> read(Sheet sheet, byte[] bytes, ProblemList problems) {
+        return new SheetReader(sheet, problems).read(bytes);
+    }
+
+    private List<SheetRow> read(byte[] bytes) {
+        if (bytes.length > TableLimits.VALUE_BYTES) {
+            problems.add(
+                    ProblemType.VALUE_TOO_LARGE,
+                    sheet,
+                    0,
+                    "",
+                    "the sheet has " + bytes.length + " bytes, allowed are " + TableLimits.VALUE_BYTES);
+            return null;
+        }
+        if (Arrays.equals(BYTE_ORDER_MARK, Arrays.copyOf(bytes, BYTE_ORDER_MARK.length))) {
+            problems.add(ProblemType.BYTE_ORDER_MARK, sheet, 1, "", "the sheet starts with a byte-order mark");
+            return null;
+        }
+        String text = decode(bytes);
+        return text == null ? null : parse(text);
+    }
+
+    private String decode(byte[] bytes) {
+        CharsetDecoder decoder = StandardCharsets.UTF_8.newDecoder();
+        ByteBuffer input = ByteBuffer.wrap(bytes);
+        CharBuffer output = CharBuffer.allocate(bytes.length);
+        CoderResult result = decoder.decode(input, output, true);
+        if (result.isError()) {
+            int line = 1;
+            for (int i = 0; i < input.position(); i++) {
+                line += bytes[i] == '\n' ? 1 : 0;
+            }
+            problems.add(
+                    ProblemType.WRONG_ENCODING, sheet, line, "", "byte " + input.position() + " is not valid UTF-8");
+            return null;
+        }
+        return output.flip().toString();
+    }
+
+    private List<SheetRow> parse(String text) {
+        List<SheetRow> rows = new ArrayList<>();
+        int number = 1;
+        try (MappingIterator<String[]> lines = ROWS.readValues(text)) {
+            int[] places = lines.hasNextValue() ? places(lines.nextValue()) : places(new String[0]);
+            if (places == null) {
+                return null;
+            }
+            while (lines.hasNextValue()) {
+                number++;
+                SheetRow row = row(number, lines.nextValue(), places);
+                if (row != null) {
+                    rows.add(row);
+                }
+            }
+        } catch (IOException e) {
+            problems.add(
+                    ProblemType.MALFORMED_CSV,
+                    sheet,
+                    number,
+                    "",
+                    "quotes do not pair, or text follows a closing quote, in or after this row");
+            return null;
+        }
+        return rows;
+    }
+
+    /** Returns for each canonical column its place in the file, or null when the header lacks or repeats a column. */
+    private int[] places(String[] header) {
+        int[] places = new int[sheet.columns().size() + 1];
+        Arrays.fill(places, -1);
+        boolean complete = true;
+        for (int i = 0; i < header.length; i++) {
+            int column = sheet.columns().indexOf(header[i]);
+            if (column < 0) {
+                problems.add(
+                        ProblemType.UNKNOWN_COLUMN,
+                        sheet,
+                        1,
+                        "",
+                        "column " + TableProblem.shown(header[i]) + " is unknown; allowed are " + sheet.columns());
+            } else if (places[column] >= 0) {
+                problems.add(ProblemType.DUPLICATE_COLUMN, sheet, 1, header[i], "the column appears twice");
+                complete = false;
+            } else {
+                places[column] = i;
+            }
+        }
+        for (int i = 0; i < sheet.columns().size(); i++) {
+            if (places[i] < 0) {
+                String column = sheet.columns().get(i);
+                problems.add(ProblemType.MISSING_COLUMN, sheet, 1, column, "the column is missing");
+                complete = false;
+            }
+        }
+        places[sheet.columns().size()] = header.length;
+        return complete ? places : null;
+    }
+
+    private SheetRow row(int number, String[] values, int[] places) {
+        int expected = places[sheet.columns().size()];
+        if (values.length != expected) {
+            problems.add(
+                    ProblemType.WRONG_FIELD_COUNT,
+                    sheet,
+                    number,
+                    "",
+                    "the row has " + values.length + " fields, the header has " + expected);
+            return null;
+        }
+        List<String> fields = new ArrayList<>(sheet.columns().size());
+        for (int i = 0; i < sheet.columns().size(); i++) {
+            fields.add(values[places[i]]);
+        }
+        SheetRow row = new SheetRow(sheet, number, List.copyOf(fields));
+        return isClean(row, problems) ? row : null;
+    }
+
+    /** Checks length and characters of a row. */
+    static boolean isClean(SheetRow row, ProblemList problems) {
+        int bytes = row.fields().size() - 1;
+        boolean clean = true;
+        for (int i = 0; i < row.fields().size(); i++) {
+            String value = row.fields().get(i);
+            bytes += value.getBytes(StandardCharsets.UTF_8).length;
+            clean &= hasPlainCharacters(row, row.sheet().columns().get(i), value, problems);
+        }
+        if (bytes > TableLimits.ROW_BYTES) {
+            problems.add(
+                    ProblemType.ROW_TOO_LONG,
+                    row.sheet(),
+                    row.number(),
+                    "",
+                    "the row has " + bytes + " bytes, allowed are " + TableLimits.ROW_BYTES);
+            return false;
+        }
+        return clean;
+    }
+
+    private static boolean hasPlainCharacters(SheetRow row, String column, String value, ProblemList problems) {
+        for (int i = 0; i < value.length(); i++) {
+            ProblemType type = typeOf(value.charAt(i));
+            if (type != null) {
+                problems.add(
+                        type,
+                        row.sheet(),
+                        row.number(),
+                        column,
+                        String.format("character U+%04X is not allowed inside a field", (int) value.charAt(i)));
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static ProblemType typeOf(char c) {
+        if (c == '"') {
+            return ProblemType.QUOTE_IN_FIELD;
+        }
+        if (c == '\n' || c == '\r' || c == '\u2028' || c == '\u2029') {
+            return ProblemType.LINE_BREAK;
+        }
+        return Character.isISOControl(c) ? ProblemType.CONTROL_CHARACTER : null;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/TableFormatException.java
@@ -0,0 +1,21 @@
+package io.jaywick.core.table;
+
+import java.util.List;
+
+import io.jaywick.core.JaywickException;
+
+/** Bytes or rows do not have the form of a table. */
+public final class TableFormatException extends JaywickException {
+
+    private final transient List<TableProblem> problems;
+
+    public TableFormatException(List<TableProblem> problems) {
+        super(problems.get(0).line() + (problems.size() > 1 ? " and " + (problems.size() - 1) + " more" : ""));
+        this.problems = List.copyOf(problems);
+    }
+
+    /** The problems found, at least one. */
+    public List<TableProblem> problems() {
+        return problems;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/TableProblem.java
@@ -0,0 +1,40 @@
+package io.jaywick.core.table;
+
+/**
+ * One reason to reject a table.
+ *
+ * @param sheet sheet name without suffix; empty when the problem concerns the whole value
+ * @param row row number as a spreadsheet shows it, the header being row 1; 0 when the problem concerns the whole sheet
+ * @param column column name, or empty
+ */
+public record TableProblem(ProblemType type, String sheet, int row, String column, String message) {
+
+    private static final int SHOWN_CHARACTERS = 60;
+
+    /** Returns the value for a message: printable characters in single quotes, shortened. */
+    public static String shown(String value) {
+        StringBuilder text = new StringBuilder("'");
+        for (int i = 0; i < value.length() && i < SHOWN_CHARACTERS; i++) {
+            char c = value.charAt(i);
+            text.append(Character.isISOControl(c) || Character.isSurrogate(c) ? '?' : c);
+        }
+        return text.append(value.length() > SHOWN_CHARACTERS ? "...'" : "'").toString();
+    }
+
+    /** One line for people, for example {@code routes.csv row 4, weight_percent: ... [WRONG_WEIGHT_SUM]}. */
+    public String line() {
+        StringBuilder text = new StringBuilder(sheet.isEmpty() ? "table" : sheet + ".csv");
+        if (row > 0) {
+            text.append(" row ").append(row);
+        }
+        if (!column.isEmpty()) {
+            text.append(", ").append(column);
+        }
+        return text.append(": ")
+                .append(message)
+                .append(" [")
+                .append(type)
+                .append(']')
+                .toString();
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/ReferenceChecks.java
@@ -0,0 +1,70 @@
+package io.jaywick.core.verdict;
+
+import java.util.HashSet;
+import java.util.Set;
+
+import io.jaywick.core.table.CanonicalRow;
+import io.jaywick.core.table.ProblemList;
+import io.jaywick.core.table.ProblemType;
+import io.jaywick.core.table.Sheet;
+import io.jaywick.core.table.SheetRow;
+import io.jaywick.core.table.TableProblem;
+import io.jaywick.core.table.TableRows;
+
+/** Checks that each name that a row refers to has a row. References into an unreadable sheet are not judged. */
+final class ReferenceChecks {
+
+    private ReferenceChecks() {}
+
+    static void check(TableRows rows, ProblemList problems) {
+        if (rows.has(Sheet.DATA_CENTRES)) {
+            checkColumn(rows, Sheet.SERVERS, "data_centre", Sheet.DATA_CENTRES, problems);
+            checkRegions(rows, problems);
+        }
+        if (rows.has(Sheet.SERVICES)) {
+            checkColumn(rows, Sheet.SERVERS, "service", Sheet.SERVICES, problems);
+            checkColumn(rows, Sheet.ROUTES, "service", Sheet.SERVICES, problems);
+        }
+    }
+
+    private static void checkColumn(TableRows rows, Sheet sheet, String column, Sheet referred, ProblemList problems) {
+        Set<String> names = values(rows, referred, referred.columns().get(0));
+        for (SheetRow row : rows.of(sheet)) {
+            String name = row.field(column);
+            if (!name.isEmpty() && !names.contains(name)) {
+                problems.add(
+                        ProblemType.UNKNOWN_REFERENCE,
+                        sheet,
+                        row.number(),
+                        column,
+                        TableProblem.shown(name) + " has no row in " + referred.sheetName() + ".csv");
+            }
+        }
+    }
+
+    private static void checkRegions(TableRows rows, ProblemList problems) {
+        Set<String> known = values(rows, Sheet.DATA_CENTRES, "region");
+        for (Sheet sheet : new Sheet[] {Sheet.SERVICES, Sheet.ROUTES, Sheet.PARTIES}) {
+            for (SheetRow row : rows.of(sheet)) {
+                for (String region : CanonicalRow.regions(row.field("home_regions"))) {
+                    if (!known.contains(region)) {
+                        problems.add(
+                                ProblemType.UNKNOWN_REGION,
+                                sheet,
+                                row.number(),
+                                "home_regions",
+                                "no data centre is in region " + TableProblem.shown(region));
+                    }
+                }
+            }
+        }
+    }
+
+    private static Set<String> values(TableRows rows, Sheet sheet, String column) {
+        Set<String> values = new HashSet<>();
+        for (SheetRow row : rows.of(sheet)) {
+            values.add(row.field(column));
+        }
+        return values;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/TableVerdict.java
@@ -0,0 +1,114 @@
+package io.jaywick.core.verdict;
+
+import java.util.List;
+import java.util.Map;
+
+import io.jaywick.core.table.ContentHash;
+import io.jaywick.core.table.PackedTable;
+import io.jaywick.core.table.ProblemList;
+import io.jaywick.core.table.ProblemType;
+import io.jaywick.core.table.Sheet;
+import io.jaywick.core.table.TableContent;
+import io.jaywick.core.table.TableFormatException;
+import io.jaywick.core.table.TableLimits;
+import io.jaywick.core.table.TableProblem;
+import io.jaywick.core.table.TableRows;
+
+/**
+ * Validation result of a table: a pure function of its bytes and the same on every node. See docs/design.md, section 3.
+ */
+public final class TableVerdict {
+
+    private final ContentHash hash;
+    private final TableContent content;
+    private final List<TableProblem> problems;
+
+    private TableVerdict(ContentHash hash, TableContent content, List<TableProblem> problems) {
+        this.hash = hash;
+        this.content = content;
+        this.problems = problems;
+    }
+
+    /** Judges a published value. */
+    public static TableVerdict ofPacked(byte[] packed) {
+        ProblemList problems = new ProblemList();
+        Map<String, byte[]> sheets = PackedTable.unpack(packed, problems);
+        return sheets == null
+                ? new TableVerdict(ContentHash.of(packed), null, problems.toList())
+                : judgeSheets(sheets, packed, problems);
+    }
+
+    /** Judges the sheets that would be packed, by name without suffix. */
+    public static TableVerdict ofSheets(Map<String, byte[]> sheets) {
+        ProblemList problems = new ProblemList();
+        byte[] packed = PackedTable.pack(sheets);
+        if (packed.length > TableLimits.VALUE_BYTES) {
+            problems.add(
+                    ProblemType.VALUE_TOO_LARGE,
+                    null,
+                    0,
+                    "",
+                    "the packed value has " + packed.length + " bytes, allowed are " + TableLimits.VALUE_BYTES);
+        }
+        return judgeSheets(sheets, packed, problems);
+    }
+
+    /** Judges canonical content, as it results from a delta or a full transfer of a peer. */
+    public static TableVerdict ofContent(TableContent content) {
+        ProblemList problems = new ProblemList();
+        judge(TableRows.ofContent(content, problems), problems);
+        return new TableVerdict(content.hash(), problems.isEmpty() ? content : null, problems.toList());
+    }
+
+    private static TableVerdict judgeSheets(Map<String, byte[]> sheets, byte[] packed, ProblemList problems) {
+        TableRows rows = TableRows.ofSheets(sheets, problems);
+        judge(rows, problems);
+        if (!problems.isEmpty()) {
+            return new TableVerdict(ContentHash.of(packed), null, problems.toList());
+        }
+        TableContent content = rows.content();
+        return new TableVerdict(content.hash(), content, List.of());
+    }
+
+    private static void judge(TableRows rows, ProblemList problems) {
+        FieldChecks.check(rows, problems);
+        ReferenceChecks.check(rows, problems);
+        RouteChecks.check(rows, problems);
+        if (rows.sheets().size() < Sheet.values().length) {
+            return;
+        }
+        HomeRegionChecks.check(rows, problems);
+        if (rows.sheets().stream().allMatch(sheet -> rows.of(sheet).isEmpty())) {
+            problems.add(ProblemType.EMPTY_TABLE, null, 0, "", "the table has no row");
+        } else if (rows.of(Sheet.DATA_CENTRES).isEmpty()) {
+            problems.add(ProblemType.NO_DATA_CENTRE, Sheet.DATA_CENTRES, 0, "", "the table has no data centre");
+        }
+    }
+
+    /** Tells whether a node may adopt the table. */
+    public boolean accepted() {
+        return problems.isEmpty();
+    }
+
+    /** Every problem found, empty when the table is accepted. */
+    public List<TableProblem> problems() {
+        return problems;
+    }
+
+    /** Hash of the content when accepted or judged from content, otherwise of the bytes of the value. */
+    public ContentHash hash() {
+        return hash;
+    }
+
+    /**
+     * Canonical content of an accepted table.
+     *
+     * @throws TableFormatException when the table is rejected
+     */
+    public TableContent content() {
+        if (content == null) {
+            throw new TableFormatException(problems);
+        }
+        return content;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/package-info.java
@@ -0,0 +1,2 @@
+/** Decides whether a table is accepted. */
+package io.jaywick.core.verdict;
