--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/SourceException.java
@@ -0,0 +1,37 @@
+package io.jaywick.node.source;
+
+import io.jaywick.core.JaywickException;
+
+/** A call to the configuration service or the instance list failed. */
+public final class SourceException extends JaywickException {
+
+    /** What went wrong. */
+    public enum Kind {
+        /** No connection, or it broke before the response was complete. */
+        UNREACHABLE,
+        /** No complete response within the time limit. */
+        TIMEOUT,
+        /** The service answered with a status other than 200 or 304. */
+        REFUSED,
+        /** The body exceeds the limit. */
+        TOO_LARGE,
+        /** The response lacks its revision or does not have the agreed form. */
+        MALFORMED
+    }
+
+    private final Kind kind;
+
+    public SourceException(Kind kind, String message) {
+        super(message);
+        this.kind = kind;
+    }
+
+    public SourceException(Kind kind, String message, Throwable cause) {
+        super(message, cause);
+        this.kind = kind;
+    }
+
+    public Kind kind() {
+        return kind;
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/SourceValue.java
@@ -0,0 +1,8 @@
+package io.jaywick.node.source;
+
+/**
+ * A published value.
+ *
+ * @param content packed table of at most 1 MB; not to be modified
+ */
+public record SourceValue(long revision, byte[] content) {}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the configuration service and the instance list. */
+package io.jaywick.node.source;
--- a/jaywick-schema/src/main/java/io/jaywick/schema/SettingsGenerator.java
+++ b/jaywick-schema/src/main/java/io/jaywick/schema/SettingsGenerator.java
@@ -24,6 +24,7 @@
 final class SettingsGenerator {
 
     private static final String PACKAGE = "io.jaywick.core.settings";
+    private static final String WHOLE = "NodeSettings";
     private static final ClassName DEFINITION = ClassName.get(PACKAGE, "SettingDefinition");
 
     private final JsonNode schema;
@@ -38,7 +39,7 @@
         CodeBlock.Builder definitions = CodeBlock.builder().add("$T.of(", List.class);
         String separator = "\n";
         for (Map.Entry<String, JsonNode> entry : schema.properties()) {
-            ClassName type = ClassName.get(PACKAGE, capitalised(entry.getKey()) + "Settings");
+            ClassName type = ClassName.get(PACKAGE, recordName(entry.getKey(), entry.getValue()));
             sections.addParameter(ParameterSpec.builder(type, entry.getKey()).build());
             files.add(file(section(type, entry.getValue())));
             for (JsonNode field : entry.getValue().path("fields")) {
@@ -47,7 +48,7 @@
             }
         }
         files.add(file(definitionRecord()));
-        files.add(file(TypeSpec.recordBuilder("NodeSettings")
+        files.add(file(TypeSpec.recordBuilder(WHOLE)
                 .addModifiers(Modifier.PUBLIC)
                 .addJavadoc("All settings of a node, one section per component. Generated from settings.toml.\n")
                 .recordConstructor(sections.build())
@@ -120,6 +121,15 @@
         };
     }
 
+    /** A section may name its record, because the section "node" would otherwise take the name of the whole. */
+    private static String recordName(String section, JsonNode definition) {
+        String name = definition.path("record").asText(capitalised(section) + "Settings");
+        if (name.equals(WHOLE)) {
+            throw new SchemaException("section " + section + " needs a record name other than " + WHOLE);
+        }
+        return name;
+    }
+
     private static String capitalised(String name) {
         return Character.toUpperCase(name.charAt(0)) + name.substring(1);
     }
--- a/jaywick-schema/src/test/java/io/jaywick/schema/SchemaGeneratorTestCase.java
+++ b/jaywick-schema/src/test/java/io/jaywick/schema/SchemaGeneratorTestCase.java
@@ -6,10 +6,12 @@
 import java.util.Map;
 import java.util.stream.Stream;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 class SchemaGeneratorTestCase {
 
@@ -31,4 +33,12 @@
             assertThat(committed, equalTo((long) SchemaGenerator.generate().size()));
         }
     }
+
+    /** Guards against the section "node" whose record would be replaced by the record over all sections. */
+    @Test
+    void refusesSectionThatTakesTheNameOfTheWhole() {
+        SettingsGenerator generator =
+                new SettingsGenerator(JsonNodeFactory.instance.objectNode().set("node", null));
+        assertThrows(SchemaException.class, generator::files);
+    }
 }
