--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -3,6 +3,10 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.jaywick.cli.check.CheckCommand;
+import io.jaywick.cli.check.GenerateCommand;
+import io.jaywick.cli.check.PackCommand;
+
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
 
@@ -18,6 +22,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of();
+        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand());
     }
 }
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/check/package-info.java
@@ -0,0 +1,2 @@
+/** Commands that check, pack and generate tables. */
+package io.jaywick.cli.check;
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/source/TableGenerator.java
@@ -0,0 +1,150 @@
+package io.jaywick.standin.source;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import io.jaywick.core.table.Sheet;
+
+/**
+ * Generates an accepted table of a given size, the same for the same seed.
+ *
+ * <p>One service in ten and the routes to it are bound to one region. The sizes of the services are skewed: a few have
+ * dozens of servers, most have few.
+ */
+public final class TableGenerator {
+
+    private static final int BOUND_SERVICE_ONE_IN = 10;
+    private static final int SPLIT_ROUTE_ONE_IN = 12;
+    private static final int IDEMPOTENT_PERCENT = 70;
+    private static final int ALL_PERCENT = 100;
+
+    private final TableShape shape;
+    private final SplittableRandom random;
+    private final List<String> regions = new ArrayList<>();
+    private final List<List<String>> dataCentres = new ArrayList<>();
+    /** Region to which each service is bound, or -1. */
+    private final int[] boundTo;
+
+    public TableGenerator(long seed, TableShape shape) {
+        this.shape = shape;
+        this.random = new SplittableRandom(seed);
+        this.boundTo = new int[shape.services()];
+    }
+
+    /** Returns the sheets by name. */
+    public Map<String, byte[]> sheets() {
+        StringBuilder dataCentreRows = new StringBuilder();
+        for (int i = 0; i < shape.dataCentresPerRegion().size(); i++) {
+            regions.add("region-" + (i + 1));
+            List<String> names = new ArrayList<>();
+            for (int j = 0; j < shape.dataCentresPerRegion().get(i); j++) {
+                names.add("dc-" + (i + 1) + "-" + (j + 1));
+                row(dataCentreRows, names.get(j), regions.get(i), "in");
+            }
+            dataCentres.add(names);
+        }
+        for (int i = 0; i < shape.services(); i++) {
+            boundTo[i] = random.nextInt(BOUND_SERVICE_ONE_IN) == 0 ? random.nextInt(regions.size()) : -1;
+        }
+        Map<String, byte[]> sheets = new LinkedHashMap<>();
+        put(sheets, Sheet.DATA_CENTRES, dataCentreRows);
+        put(sheets, Sheet.SERVERS, servers());
+        put(sheets, Sheet.SERVICES, services());
+        put(sheets, Sheet.ROUTES, routes());
+        put(sheets, Sheet.PARTIES, parties());
+        return sheets;
+    }
+
+    private StringBuilder servers() {
+        int[] counts = new int[shape.services()];
+        int left = shape.servers();
+        for (int i = 0; i < counts.length; i++) {
+            counts[i] = regions.size();
+            left -= counts[i];
+        }
+        for (; left > 0; left--) {
+            // The square of a uniform number favours low service numbers.
+            double place = random.nextDouble();
+            counts[(int) (place * place * counts.length)]++;
+        }
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < counts.length; i++) {
+            int offset = random.nextInt(shape.services());
+            for (int j = 0; j < counts[i]; j++) {
+                int region = boundTo[i] >= 0 ? boundTo[i] : j % regions.size();
+                List<String> names = dataCentres.get(region);
+                row(
+                        rows,
+                        service(i) + "-" + (j + 1),
+                        names.get((offset + j / regions.size()) % names.size()),
+                        service(i));
+            }
+        }
+        return rows;
+    }
+
+    private StringBuilder services() {
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < shape.services(); i++) {
+            row(rows, service(i), home(i), 12, 110 + random.nextInt(3) * 10, 2, 500 + random.nextInt(6) * 500);
+        }
+        return rows;
+    }
+
+    private StringBuilder routes() {
+        StringBuilder rows = new StringBuilder();
+        for (int i = 0; i < shape.services(); i++) {
+            String route = "route-" + service(i);
+            String path = "/" + service(i).replace('-', '/');
+            boolean idempotent = random.nextInt(ALL_PERCENT) < IDEMPOTENT_PERCENT;
+            int timeout = 500 + random.nextInt(6) * 500;
+            int importance = random.nextInt(ALL_PERCENT);
+            int other = (i + 1) % shape.services();
+            int weight = ALL_PERCENT;
+            if (other != i && boundTo[other] == boundTo[i] && random.nextInt(SPLIT_ROUTE_ONE_IN) == 0) {
+                weight = 50 + random.nextInt(50);
+                row(rows, route, path, service(other), ALL_PERCENT - weight, idempotent, timeout, home(i), importance);
+            }
+            row(rows, route, path, service(i), weight, idempotent, timeout, home(i), importance);
+        }
+        return rows;
+    }
+
+    private StringBuilder parties() {
+        StringBuilder rows = new StringBuilder();
+        int share = ALL_PERCENT / Math.max(1, shape.parties());
+        for (int i = 0; i < shape.parties(); i++) {
+            String home = random.nextInt(4) == 0 ? regions.get(random.nextInt(regions.size())) : "";
+            int limit = 100 * (1 + random.nextInt(100));
+            row(rows, String.format("party-%03d", i + 1), limit, 1_000, share, home, random.nextInt(ALL_PERCENT));
+        }
+        return rows;
+    }
+
+    private String home(int service) {
+        return boundTo[service] < 0 ? "" : regions.get(boundTo[service]);
+    }
+
+    private static String service(int number) {
+        return String.format("svc-%03d", number + 1);
+    }
+
+    private static void row(StringBuilder rows, Object... fields) {
+        for (int i = 0; i < fields.length; i++) {
+            rows.append(i > 0 ? "," : "").append(fields[i]);
+        }
+        rows.append('\n');
+    }
+
+    private static void put(Map<String, byte[]> sheets, Sheet sheet, StringBuilder rows) {
+        // Routes are written in the order of the columns in docs/design.md.
+        String header = sheet == Sheet.ROUTES
+                ? "route,path_prefix,service,weight_percent,idempotent,timeout_millis,home_regions,importance"
+                : String.join(",", sheet.columns());
+        sheets.put(sheet.sheetName(), (header + "\n" + rows).getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/source/package-info.java
@@ -0,0 +1,2 @@
+/** Fake configuration service and generated tables. */
+package io.jaywick.standin.source;
