Add routing, admission and retry decisions to core

Suspect entries carry the ids of the losses instead of a count, because two nodes that each saw one loss of a different target could not add their counts.

--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/ConcurrencyLimit.java
@@ -0,0 +1,85 @@
+package io.jaywick.core.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Concurrency that a target is trusted with. It starts at the cold start calls, grows by one with each whole answer
+ * and is halved when the target refuses or when several answers in a row are much slower than usual, which means that
+ * the target has turned cold. Not thread-safe.
+ */
+public final class ConcurrencyLimit {
+
+    /** An answer is slow at this multiple of the usual latency of its route. */
+    public static final int SLOW_FACTOR = 3;
+    /** A single slow answer is usual; three in a row are not. */
+    public static final int SLOW_STREAK = 3;
+    /** Differences below it are scheduling noise. */
+    public static final long SLOW_FLOOR_NANOS = 5_000_000;
+
+    private static final double WEIGHT = 0.1;
+    /** Slow answers move the usual latency little, yet enough that a lasting change is accepted in time. */
+    private static final double SLOW_WEIGHT = 0.02;
+
+    private static final int MAX_ROUTES = 1_024;
+
+    private final Map<String, Double> usualNanos = new HashMap<>();
+    private int coldStartCalls;
+    private int slots;
+    private int limit;
+    private int slowStreak;
+
+    public ConcurrencyLimit(int coldStartCalls, int slots) {
+        this.coldStartCalls = Math.max(1, coldStartCalls);
+        this.slots = Math.max(1, slots);
+        this.limit = Math.min(this.coldStartCalls, this.slots);
+    }
+
+    /** Takes over changed values of the table; a warm target stays warm. */
+    public void configure(int newColdStartCalls, int newSlots) {
+        coldStartCalls = Math.max(1, newColdStartCalls);
+        slots = Math.max(1, newSlots);
+        limit = Math.min(limit, slots);
+    }
+
+    public int limit() {
+        return limit;
+    }
+
+    /** The target answered in full. */
+    public void answered(String route, long latencyNanos) {
+        Double usual = usualNanos.get(route);
+        boolean slow = usual != null && latencyNanos > SLOW_FACTOR * usual + SLOW_FLOOR_NANOS;
+        if (usual == null) {
+            if (usualNanos.size() < MAX_ROUTES) {
+                usualNanos.put(route, (double) latencyNanos);
+            }
+        } else {
+            usualNanos.put(route, usual + (slow ? SLOW_WEIGHT : WEIGHT) * (latencyNanos - usual));
+        }
+        if (!slow) {
+            slowStreak = 0;
+            limit = Math.min(slots, limit + 1);
+            return;
+        }
+        slowStreak++;
+        if (slowStreak >= SLOW_STREAK) {
+            halve();
+        }
+    }
+
+    /** The target shed the call. */
+    public void refused() {
+        halve();
+    }
+
+    /** The target was lost; the process that follows it starts cold. */
+    public void lost() {
+        limit = Math.min(coldStartCalls, slots);
+        slowStreak = 0;
+    }
+
+    private void halve() {
+        limit = Math.max(1, limit / 2);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/Ramp.java
@@ -0,0 +1,33 @@
+package io.jaywick.core.admission;
+
+/** Limits a server to a growing part of its slots after its data centre has returned to service. */
+public final class Ramp {
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final long rampNanos;
+    private boolean running;
+    private long startNanos;
+
+    public Ramp(long rampMillis) {
+        this.rampNanos = rampMillis * NANOS_PER_MILLI;
+    }
+
+    public void start(long now) {
+        running = rampNanos > 0;
+        startNanos = now;
+    }
+
+    /** Returns the concurrency allowed at a moment, at least 1 and at most the slots. */
+    public int limit(int slots, long now) {
+        if (!running) {
+            return slots;
+        }
+        long elapsed = now - startNanos;
+        if (elapsed >= rampNanos) {
+            running = false;
+            return slots;
+        }
+        return (int) Math.max(1, slots * elapsed / rampNanos);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectLane.java
@@ -0,0 +1,39 @@
+package io.jaywick.core.admission;
+
+import java.util.ArrayDeque;
+
+/**
+ * Lets only one suspect request at a time run at a target, so that the second loss points at the crashing request and
+ * not at the innocent ones that were in flight beside it at the first loss. Thread-safe.
+ */
+public final class SuspectLane {
+
+    private static final int MAX_WAITING = 64;
+
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    private boolean occupied;
+
+    /** Runs the call now or when the lane is free; returns false when too many wait. */
+    public boolean enter(Runnable call) {
+        synchronized (this) {
+            if (occupied) {
+                return waiting.size() < MAX_WAITING && waiting.add(call);
+            }
+            occupied = true;
+        }
+        call.run();
+        return true;
+    }
+
+    /** The suspect request has left the target, or its call was refused. */
+    public void leave() {
+        Runnable next;
+        synchronized (this) {
+            next = waiting.poll();
+            occupied = next != null;
+        }
+        if (next != null) {
+            next.run();
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
@@ -0,0 +1,156 @@
+package io.jaywick.core.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import io.jaywick.core.message.SuspectEntry;
+import io.jaywick.core.snapshot.HomeRegions;
+
+/**
+ * Fingerprints of requests that were in flight when a target was lost. A fingerprint seen at two losses is refused;
+ * one loss alone blocks nothing, because most requests in flight at it are innocent. Thread-safe and bounded.
+ */
+public final class SuspectList {
+
+    public static final int CRASHES_TO_BLOCK = 2;
+    public static final int MAX_ENTRIES = 4_096;
+    public static final long EXPIRY_MILLIS = 600_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private record Entry(Set<String> crashIds, Set<String> homeRegions, long expiresNanos) {
+        int crashes() {
+            return crashIds.size();
+        }
+    }
+
+    private final String region;
+    private final LongSupplier nanoTime;
+    private final Map<String, Entry> entries = new HashMap<>();
+
+    /** The region is that of the node; entries bound to other regions are not kept. */
+    public SuspectList(String region, LongSupplier nanoTime) {
+        this.region = region;
+        this.nanoTime = nanoTime;
+    }
+
+    /**
+     * A target was lost with the request in flight.
+     *
+     * @param crashId name of the loss, unique over all nodes, so that nodes can add up different losses
+     */
+    public synchronized void crashed(String fingerprint, String crashId, Set<String> homeRegions) {
+        add(fingerprint, Set.of(crashId), homeRegions, EXPIRY_MILLIS);
+    }
+
+    /** The request was answered, so that the losses beside it were not its fault. */
+    public synchronized void cleared(String fingerprint) {
+        if (!entries.isEmpty()) {
+            entries.remove(fingerprint);
+        }
+    }
+
+    public synchronized boolean isBlocked(String fingerprint) {
+        if (entries.isEmpty()) {
+            return false;
+        }
+        Entry entry = live(fingerprint);
+        return entry != null && entry.crashes() >= CRASHES_TO_BLOCK;
+    }
+
+    /** Losses known of a request, none for most. */
+    public synchronized Set<String> crashIds(String fingerprint) {
+        Entry entry = entries.isEmpty() ? null : live(fingerprint);
+        return entry == null ? Set.of() : entry.crashIds();
+    }
+
+    /** Adds what a peer, a request or a refusal says. Losses with the same id count once. */
+    public synchronized void merge(SuspectEntry remote) {
+        Set<String> homeRegions = Set.copyOf(remote.homeRegions());
+        if (!HomeRegions.allows(homeRegions, region) || remote.crashIds().isEmpty() || remote.expiresInMillis() <= 0) {
+            return;
+        }
+        add(remote.fingerprint(), Set.copyOf(remote.crashIds()), homeRegions, remote.expiresInMillis());
+    }
+
+    /** Entries that may be sent to a peer of a region, those with the most crashes first. */
+    public synchronized List<SuspectEntry> entriesFor(String peerRegion, int max) {
+        List<SuspectEntry> result = new ArrayList<>();
+        long now = nanoTime.getAsLong();
+        for (int crashes = CRASHES_TO_BLOCK; crashes > 0; crashes--) {
+            for (Map.Entry<String, Entry> item : entries.entrySet()) {
+                Entry entry = item.getValue();
+                long left = (entry.expiresNanos() - now) / NANOS_PER_MILLI;
+                if (result.size() < max
+                        && entry.crashes() == crashes
+                        && left > 0
+                        && HomeRegions.allows(entry.homeRegions(), peerRegion)) {
+                    result.add(new SuspectEntry(
+                            item.getKey(), List.copyOf(entry.crashIds()), List.copyOf(entry.homeRegions()), left));
+                }
+            }
+        }
+        return result;
+    }
+
+    public synchronized int size() {
+        return entries.size();
+    }
+
+    private void add(String fingerprint, Set<String> crashIds, Set<String> homeRegions, long expiresInMillis) {
+        Entry known = live(fingerprint);
+        Set<String> all = new LinkedHashSet<>(known == null ? Set.of() : known.crashIds());
+        boolean changed = false;
+        for (String crashId : crashIds) {
+            changed |= all.size() < CRASHES_TO_BLOCK && all.add(crashId);
+        }
+        if (changed) {
+            long expiresIn = Math.min(EXPIRY_MILLIS, expiresInMillis);
+            put(fingerprint, new Entry(all, homeRegions, nanoTime.getAsLong() + expiresIn * NANOS_PER_MILLI));
+        }
+    }
+
+    private Entry live(String fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        if (entry != null && nanoTime.getAsLong() - entry.expiresNanos() >= 0) {
+            entries.remove(fingerprint);
+            return null;
+        }
+        return entry;
+    }
+
+    private void put(String fingerprint, Entry entry) {
+        if (entries.size() >= MAX_ENTRIES && !entries.containsKey(fingerprint)) {
+            makeRoom();
+        }
+        entries.put(fingerprint, entry);
+    }
+
+    /** Drops expired entries, else the one with the fewest crashes that expires first. */
+    private void makeRoom() {
+        long now = nanoTime.getAsLong();
+        String victim = null;
+        Entry worst = null;
+        for (Iterator<Map.Entry<String, Entry>> all = entries.entrySet().iterator(); all.hasNext(); ) {
+            Map.Entry<String, Entry> item = all.next();
+            Entry entry = item.getValue();
+            if (now - entry.expiresNanos() >= 0) {
+                all.remove();
+            } else if (worst == null
+                    || entry.crashes() < worst.crashes()
+                    || entry.crashes() == worst.crashes() && entry.expiresNanos() - worst.expiresNanos() < 0) {
+                victim = item.getKey();
+                worst = entry;
+            }
+        }
+        if (entries.size() >= MAX_ENTRIES) {
+            entries.remove(victim);
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/KeyMemory.java
@@ -0,0 +1,92 @@
+package io.jaywick.core.retry;
+
+import java.time.InstantSource;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Idempotency keys that the node beside a target has dispatched. A key is accepted once. A key that the node may have
+ * missed, because it started, because another server was the key's home, or because it had to forget keys, is accepted
+ * only when its own creation time proves that it is newer than what was missed. Thread-safe.
+ */
+public final class KeyMemory {
+
+    /**
+     * A node can serve a key's former home for the 8 s within which an edit is active everywhere, and clocks may differ
+     * by 2 s. Only a key created after both is certainly new.
+     */
+    public static final long MARGIN_MILLIS = 10_000;
+
+    private final long windowMillis;
+    private final int capacity;
+    private final InstantSource clock;
+    private final Map<String, Long> dispatchMillis = new LinkedHashMap<>();
+    private long missedUntilMillis;
+
+    /** Takes the moment of construction as the start of the process. */
+    public KeyMemory(long windowMillis, int capacity, InstantSource clock) {
+        this.windowMillis = windowMillis;
+        this.capacity = capacity;
+        this.clock = clock;
+        this.missedUntilMillis = clock.millis();
+    }
+
+    /** Tells whether a key would be accepted, without recording it. */
+    public synchronized boolean isNew(String party, String key, long elsewhereUntilMillis) {
+        long now = clock.millis();
+        expire(now);
+        return !dispatchMillis.containsKey(name(party, key)) && isCertainlyNew(key, elsewhereUntilMillis, now);
+    }
+
+    /**
+     * Records a key directly before its request is dispatched.
+     *
+     * @param elsewhereUntilMillis moment until which another server was the key's home, or 0
+     * @return false when the key was dispatched before or may have been
+     */
+    public synchronized boolean tryRecord(String party, String key, long elsewhereUntilMillis) {
+        if (!isNew(party, key, elsewhereUntilMillis)) {
+            return false;
+        }
+        if (dispatchMillis.size() >= capacity) {
+            Iterator<Map.Entry<String, Long>> oldest = dispatchMillis.entrySet().iterator();
+            missedUntilMillis = Math.max(missedUntilMillis, oldest.next().getValue());
+            oldest.remove();
+        }
+        dispatchMillis.put(name(party, key), clock.millis());
+        return true;
+    }
+
+    /** Forgets a key whose request provably never reached the target. */
+    public synchronized void withdraw(String party, String key) {
+        dispatchMillis.remove(name(party, key));
+    }
+
+    public synchronized int size() {
+        return dispatchMillis.size();
+    }
+
+    private boolean isCertainlyNew(String key, long elsewhereUntilMillis, long now) {
+        long created = UuidV7.creationMillis(key);
+        if (created >= 0 && (created < now - windowMillis || created > now + MARGIN_MILLIS)) {
+            // An older key may have been forgotten by now, and a key from the future proves nothing.
+            return false;
+        }
+        long missed = Math.max(missedUntilMillis, elsewhereUntilMillis);
+        return now - missed >= windowMillis + MARGIN_MILLIS || created > missed + MARGIN_MILLIS;
+    }
+
+    private void expire(long now) {
+        for (Iterator<Long> times = dispatchMillis.values().iterator(); times.hasNext(); ) {
+            if (now - times.next() < windowMillis + MARGIN_MILLIS) {
+                return;
+            }
+            times.remove();
+        }
+    }
+
+    private static String name(String party, String key) {
+        return party + '\n' + key;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/KeyPlacements.java
@@ -0,0 +1,102 @@
+package io.jaywick.core.retry;
+
+import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.Set;
+
+import io.jaywick.core.routing.KeyHome;
+import io.jaywick.core.snapshot.HomeRegions;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Route;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Service;
+import io.jaywick.core.snapshot.Snapshot;
+
+/**
+ * Where keys were at home under the tables of the last window. It tells a server until when another server was a
+ * key's home. Thread-safe.
+ */
+public final class KeyPlacements {
+
+    /** Snapshots hold memory; beyond this number the node counts as having missed all keys of the dropped ones. */
+    private static final int MAX_FORMER = 8;
+
+    private record Former(Snapshot snapshot, long untilMillis) {}
+
+    private final String server;
+    private final long windowMillis;
+    private final InstantSource clock;
+    private final ArrayDeque<Former> former = new ArrayDeque<>();
+    private Snapshot current;
+    private long droppedUntilMillis;
+
+    public KeyPlacements(String server, long windowMillis, InstantSource clock) {
+        this.server = server;
+        this.windowMillis = windowMillis;
+        this.clock = clock;
+    }
+
+    /** Takes a table into force. */
+    public synchronized void adopt(Snapshot next) {
+        if (next == current) {
+            return;
+        }
+        long now = clock.millis();
+        if (current != null && !samePlacement(current, next)) {
+            former.addLast(new Former(current, now));
+        }
+        current = next;
+        while (former.size() > MAX_FORMER) {
+            droppedUntilMillis = former.removeFirst().untilMillis();
+        }
+        for (Iterator<Former> oldest = former.iterator(); oldest.hasNext(); ) {
+            if (now - oldest.next().untilMillis() < windowMillis + KeyMemory.MARGIN_MILLIS) {
+                break;
+            }
+            oldest.remove();
+        }
+    }
+
+    /** Returns the moment until which another server was the home of the key, or 0. */
+    public synchronized long elsewhereUntilMillis(String path, String partyName, String key) {
+        long until = droppedUntilMillis;
+        for (Former past : former) {
+            if (!server.equals(homeOf(past.snapshot(), path, partyName, key))) {
+                until = Math.max(until, past.untilMillis());
+            }
+        }
+        return until;
+    }
+
+    /** Returns the home server of a key by one table, or null. */
+    public static String homeOf(Snapshot snapshot, String path, String partyName, String key) {
+        Party party = snapshot.parties().get(partyName);
+        Route route = snapshot.routeFor(path);
+        if (party == null || route == null || route.idempotent()) {
+            return null;
+        }
+        Service service = KeyHome.service(route, partyName, key);
+        if (service == null) {
+            return null;
+        }
+        Set<String> regions = HomeRegions.intersection(route.homeRegions(), service.homeRegions(), party.homeRegions());
+        Server home = regions == null ? null : KeyHome.server(service, regions, partyName, key);
+        return home == null ? null : home.name();
+    }
+
+    private static boolean samePlacement(Snapshot a, Snapshot b) {
+        if (!a.dataCentres().equals(b.dataCentres())
+                || !a.servers().equals(b.servers())
+                || !a.routes().equals(b.routes())
+                || !a.parties().keySet().equals(b.parties().keySet())) {
+            return false;
+        }
+        for (Party party : a.parties().values()) {
+            if (!party.homeRegions().equals(b.parties().get(party.name()).homeRegions())) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/Router.java
@@ -0,0 +1,237 @@
+package io.jaywick.core.routing;
+
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.membership.Member;
+import io.jaywick.core.membership.MemberState;
+import io.jaywick.core.membership.MembershipView;
+import io.jaywick.core.snapshot.HomeRegions;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Route;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Service;
+import io.jaywick.core.snapshot.Snapshot;
+
+/**
+ * Chooses service and target of each call at the node beside the caller. Thread-safe. Home regions and the state of
+ * the data centres in the table exclude targets; everything observed or reported only orders them.
+ */
+public final class Router {
+
+    /** Time for which a target that refused as leaving, or could not be connected, is a last resort. */
+    public static final long AVOID_MILLIS = 2_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final double DEFAULT_LATENCY_NANOS = 1_000_000;
+    private static final int TIERS = 3;
+    /** Classes of candidates: free, busy, doubtful; a lower class is preferred. */
+    private static final int CLASSES = 3;
+
+    private final String dataCentre;
+    private final String region;
+    private final RandomGenerator random;
+    private final LongSupplier nanoTime;
+    private final Map<String, SmoothWeights> weights = new ConcurrentHashMap<>();
+    private final Map<String, TargetState> targets = new ConcurrentHashMap<>();
+    private final Map<String, OutlierEjector> ejectors = new ConcurrentHashMap<>();
+    private volatile Snapshot known;
+
+    /** The place is that of the node; the time is monotonic and the generator thread-safe. */
+    public Router(String dataCentre, String region, RandomGenerator random, LongSupplier nanoTime) {
+        this.dataCentre = dataCentre;
+        this.region = region;
+        this.random = random;
+        this.nanoTime = nanoTime;
+    }
+
+    /** Resolves route, party, home regions and service of a call. A key is respected on non-idempotent routes only. */
+    public CallPlan plan(Snapshot snapshot, String path, String partyName, String idempotencyKey) {
+        if (snapshot == null) {
+            return CallPlan.refused(null, null, null, RefusalReason.NO_TABLE);
+        }
+        if (snapshot != known) {
+            forgetOthers(snapshot);
+        }
+        Party party = partyName == null ? null : snapshot.parties().get(partyName);
+        if (party == null) {
+            return CallPlan.refused(snapshot, null, null, RefusalReason.UNKNOWN_PARTY);
+        }
+        Route route = snapshot.routeFor(path);
+        if (route == null) {
+            return CallPlan.refused(snapshot, null, party, RefusalReason.NO_ROUTE);
+        }
+        String key = route.idempotent() ? null : idempotencyKey;
+        Service service =
+                key == null ? weightsOf(route).choose(route.services()) : KeyHome.service(route, party.name(), key);
+        Set<String> homeRegions =
+                HomeRegions.intersection(route.homeRegions(), service.homeRegions(), party.homeRegions());
+        RefusalReason refusal = HomeRegions.allows(homeRegions, region) ? null : RefusalReason.OUTSIDE_HOME_REGIONS;
+        return new CallPlan(snapshot, route, service, party, homeRegions, key, refusal);
+    }
+
+    /**
+     * Chooses a target for the next attempt, or null when none is reachable. The caller reports the call to
+     * {@link #started} and {@link #ended}.
+     *
+     * @param tried servers that have refused this call or lost it; they are not chosen again
+     */
+    public Member choose(CallPlan plan, MembershipView members, Collection<String> tried) {
+        if (plan.key() != null) {
+            Server home = KeyHome.server(
+                    plan.service(), plan.homeRegions(), plan.party().name(), plan.key());
+            return home == null || tried.contains(home.name())
+                    ? null
+                    : members.member(home.name()).orElse(null);
+        }
+        List<Server> servers = plan.service().servers();
+        Member[] candidates = new Member[servers.size()];
+        byte[] places = new byte[candidates.length];
+        int[] sizes = new int[TIERS * CLASSES];
+        long now = nanoTime.getAsLong();
+        for (int i = 0; i < candidates.length; i++) {
+            Server server = servers.get(i);
+            if (!server.dataCentre().in()
+                    || !HomeRegions.allows(
+                            plan.homeRegions(), server.dataCentre().region())
+                    || tried.contains(server.name())) {
+                continue;
+            }
+            Optional<Member> member = members.member(server.name());
+            if (member.isPresent()) {
+                candidates[i] = member.get();
+                places[i] = (byte) (classOf(plan.service(), server, member.get(), now) * TIERS + tier(server));
+                sizes[places[i]]++;
+            }
+        }
+        for (int place = 0; place < sizes.length; place++) {
+            if (sizes[place] > 0) {
+                return better(plan.service(), candidates, places, place, sizes[place], now);
+            }
+        }
+        return null;
+    }
+
+    /** A call is being sent to the server. */
+    public void started(Server server) {
+        state(server).started();
+    }
+
+    /** A call to the server has ended in any way. */
+    public void ended(Server server) {
+        state(server).ended();
+    }
+
+    /** The server delivered a whole answer. */
+    public void answered(Service service, Server server, long latencyNanos) {
+        state(server).latency(latencyNanos);
+        ejector(service).succeeded(server.name());
+    }
+
+    /** The server's node reported its load with an answer or a refusal. */
+    public void reported(Server server, int inFlight, int limit) {
+        state(server).report(inFlight, limit, nanoTime.getAsLong());
+    }
+
+    /** The connection was lost with the call in flight, or no answer came in time. */
+    public void failed(Service service, Server server) {
+        ejector(service).failed(server.name(), service.servers().size(), nanoTime.getAsLong());
+    }
+
+    /** No connection to the server's node could be made, or the node refused because it leaves. */
+    public void avoid(Server server) {
+        state(server).avoidUntil(nanoTime.getAsLong() + AVOID_MILLIS * NANOS_PER_MILLI);
+    }
+
+    /** A node refused because its data centre is out, which this node's table does not say yet. */
+    public void avoidDataCentre(Service service, String dataCentreName) {
+        for (Server server : service.servers()) {
+            if (server.dataCentre().name().equals(dataCentreName)) {
+                avoid(server);
+            }
+        }
+    }
+
+    private Member better(Service service, Member[] candidates, byte[] places, int place, int size, long now) {
+        int first = random.nextInt(size);
+        int second = size == 1 ? first : random.nextInt(size - 1);
+        if (size > 1 && second >= first) {
+            second++;
+        }
+        int firstIndex = indexOf(candidates, places, place, first);
+        int secondIndex = indexOf(candidates, places, place, second);
+        TargetState a = state(service.servers().get(firstIndex));
+        TargetState b = state(service.servers().get(secondIndex));
+        double latencyA = a.latencyNanos() == 0 ? b.latencyNanos() : a.latencyNanos();
+        double latencyB = b.latencyNanos() == 0 ? a.latencyNanos() : b.latencyNanos();
+        double scoreA = a.score(service.coldStartCalls(), latencyA == 0 ? DEFAULT_LATENCY_NANOS : latencyA, now);
+        double scoreB = b.score(service.coldStartCalls(), latencyB == 0 ? DEFAULT_LATENCY_NANOS : latencyB, now);
+        return candidates[scoreB < scoreA ? secondIndex : firstIndex];
+    }
+
+    private static int indexOf(Member[] candidates, byte[] places, int place, int position) {
+        int left = position;
+        for (int i = 0; i < candidates.length; i++) {
+            if (candidates[i] != null && places[i] == place && left-- == 0) {
+                return i;
+            }
+        }
+        throw new IllegalStateException("candidate count and places differ");
+    }
+
+    private int classOf(Service service, Server server, Member member, long now) {
+        TargetState state = state(server);
+        if (member.state() != MemberState.ALIVE
+                || state.isAvoided(now)
+                || ejector(service).isEjected(server.name(), now)) {
+            return 2;
+        }
+        return state.hasCapacity(service.coldStartCalls(), now) ? 0 : 1;
+    }
+
+    private int tier(Server server) {
+        if (server.dataCentre().name().equals(dataCentre)) {
+            return 0;
+        }
+        return server.dataCentre().region().equals(region) ? 1 : 2;
+    }
+
+    private SmoothWeights weightsOf(Route route) {
+        SmoothWeights found = weights.get(route.name());
+        return found != null
+                ? found
+                : weights.computeIfAbsent(route.name(), name -> new SmoothWeights(route.services(), random));
+    }
+
+    private TargetState state(Server server) {
+        TargetState found = targets.get(server.name());
+        return found != null ? found : targets.computeIfAbsent(server.name(), name -> new TargetState(server));
+    }
+
+    private OutlierEjector ejector(Service service) {
+        OutlierEjector found = ejectors.get(service.name());
+        return found != null ? found : ejectors.computeIfAbsent(service.name(), name -> new OutlierEjector());
+    }
+
+    /** Bounds the memory by the table. A call in flight to a removed server recreates its state, which is harmless. */
+    private synchronized void forgetOthers(Snapshot snapshot) {
+        if (snapshot == known) {
+            return;
+        }
+        targets.keySet().retainAll(snapshot.servers().keySet());
+        ejectors.keySet().retainAll(snapshot.services().keySet());
+        Set<String> routes = new HashSet<>();
+        for (Route route : snapshot.routes()) {
+            routes.add(route.name());
+        }
+        weights.keySet().retainAll(routes);
+        known = snapshot;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/TargetState.java
@@ -0,0 +1,85 @@
+package io.jaywick.core.routing;
+
+import io.jaywick.core.snapshot.Server;
+
+/** What one node has observed of one target: own calls in flight, latency, failures and the load last reported. */
+final class TargetState {
+
+    private static final double LATENCY_WEIGHT = 0.2;
+    /** Calls of other nodes change within a few round trips, so that an old report counts for little. */
+    private static final long REPORT_HALF_LIFE_NANOS = 250_000_000L;
+
+    final Server server;
+    private int inFlight;
+    private double latencyNanos;
+    private int limit = -1;
+    private int othersInFlight;
+    private long reportNanos;
+    private boolean avoided;
+    private long avoidUntilNanos;
+
+    TargetState(Server server) {
+        this.server = server;
+    }
+
+    synchronized void started() {
+        inFlight++;
+    }
+
+    synchronized void ended() {
+        inFlight--;
+    }
+
+    synchronized void latency(long nanos) {
+        latencyNanos = latencyNanos == 0 ? nanos : latencyNanos + LATENCY_WEIGHT * (nanos - latencyNanos);
+    }
+
+    synchronized void report(int totalInFlight, int reportedLimit, long now) {
+        othersInFlight = Math.max(0, totalInFlight - inFlight);
+        limit = reportedLimit;
+        reportNanos = now;
+    }
+
+    synchronized void avoidUntil(long nanos) {
+        avoided = true;
+        avoidUntilNanos = nanos;
+    }
+
+    synchronized boolean isAvoided(long now) {
+        if (avoided && now - avoidUntilNanos >= 0) {
+            avoided = false;
+        }
+        return avoided;
+    }
+
+    /** A target that has not reported yet is taken as cold. */
+    synchronized boolean hasCapacity(int coldStartCalls, long now) {
+        return inFlight + others(now) < capacity(coldStartCalls);
+    }
+
+    /** Expected wait; a lower score is better. The default stands in for the latency of a target without answers. */
+    synchronized double score(int coldStartCalls, double defaultLatencyNanos, long now) {
+        double latency = latencyNanos == 0 ? defaultLatencyNanos : latencyNanos;
+        return (inFlight + others(now) + 1) * latency / capacity(coldStartCalls);
+    }
+
+    synchronized double latencyNanos() {
+        return latencyNanos;
+    }
+
+    synchronized int inFlight() {
+        return inFlight;
+    }
+
+    private double others(long now) {
+        long age = now - reportNanos;
+        if (othersInFlight == 0 || age >= 8 * REPORT_HALF_LIFE_NANOS) {
+            return 0;
+        }
+        return othersInFlight * Math.pow(0.5, (double) age / REPORT_HALF_LIFE_NANOS);
+    }
+
+    private int capacity(int coldStartCalls) {
+        return Math.max(1, limit < 0 ? coldStartCalls : limit);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Choice of the service and the target of a call. See docs/design.md, section 5.
+ */
+package io.jaywick.core.routing;
