Add the party limiter core

Parties need one limit over all nodes without a store or agreement. The limiter places base shares on servers of the roster by rendezvous hash and lends them for a period. A renewal extends the same quota, so that no second copy of it is needed for the overlap, and a request says how much the sender still holds, so that a lost answer costs one retry.

No measurement yet.

--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
@@ -0,0 +1,316 @@
+package io.jaywick.core.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.core.message.QuotaGrant;
+import io.jaywick.core.message.QuotaRequest;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.snapshot.SnapshotListener;
+
+/**
+ * Enforces the limits of the parties without agreement between nodes (I13). Base shares are placed on servers of the
+ * roster; nodes with demand get quota from these holders for a period. docs/design-limits.md argues why no sliding
+ * window over all nodes holds more calls than the limit. The owner calls {@link #tick} about ten times a second. Safe
+ * for concurrent use.
+ */
+public final class PartyLimiter implements CallQuota, SnapshotListener {
+
+    private static final long CONFIRM_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    /** Party of a request that asks only whether the receiver knows that the current roster is settled. */
+    private static final String PROBE = "";
+
+    private final LimiterOptions options;
+    private final long periodNanos;
+    private final PeerLink link;
+    private final AddressLookup addresses;
+    private final FleetRevisions revisions;
+    private final LongSupplier nanoClock;
+    private final RandomGenerator random;
+
+    private final Map<String, PartyState> states = new ConcurrentHashMap<>();
+    private final RosterHistory history;
+    private final HolderDirectory holders;
+    private final AtomicLong requestIds;
+    private final AtomicLong grantIds = new AtomicLong();
+    private volatile Snapshot snapshot;
+    private volatile long generation;
+    private long nextConfirmNanos;
+
+    public PartyLimiter(
+            LimiterOptions options,
+            PeerLink link,
+            AddressLookup addresses,
+            FleetRevisions revisions,
+            LongSupplier nanoClock,
+            RandomGenerator random) {
+        this.options = options;
+        this.periodNanos = TimeUnit.MILLISECONDS.toNanos(options.grantMillis());
+        this.link = link;
+        this.addresses = addresses;
+        this.revisions = revisions;
+        this.nanoClock = nanoClock;
+        this.random = random;
+        this.history = new RosterHistory(periodNanos);
+        this.holders = new HolderDirectory(options.server(), options.holdersPerParty());
+        // A random start keeps an answer to an earlier process under this name from matching a request of this one.
+        this.requestIds = new AtomicLong(random.nextLong() >>> 2);
+        this.nextConfirmNanos = nanoClock.getAsLong();
+    }
+
+    @Override
+    public boolean tryAcquire(Party party) {
+        Snapshot current = snapshot;
+        Party known = current == null ? null : current.parties().get(party.name());
+        if (known == null) {
+            return false;
+        }
+        long startNanos;
+        while (true) {
+            PartyState state = state(known);
+            synchronized (state) {
+                if (state.isRetired()) {
+                    continue;
+                }
+                startNanos = nanoClock.getAsLong();
+                refresh(state, startNanos);
+                if (!state.tryAcquire(startNanos)) {
+                    return false;
+                }
+            }
+            // A process that paused since the check may be past the end of its grant. The call stays counted.
+            return nanoClock.getAsLong() - startNanos <= LimitTiming.guardNanos(known.windowMillis()) / 2;
+        }
+    }
+
+    @Override
+    public void onSnapshot(Snapshot adopted) {
+        synchronized (history) {
+            boolean first = snapshot == null;
+            if (first || !adopted.servers().keySet().equals(snapshot.servers().keySet())) {
+                history.adopt(new Roster(adopted.servers().keySet()), adopted.revision());
+            }
+            if (first && options.firstStart()) {
+                history.assumeFirst();
+            }
+            snapshot = adopted;
+            generation++;
+        }
+    }
+
+    /** Answers a request of another node. */
+    public QuotaGrant handle(QuotaRequest request) {
+        Snapshot current = snapshot;
+        Party known = current == null ? null : current.parties().get(request.party());
+        HolderLedger.Decision decision = HolderLedger.Decision.NONE;
+        while (known != null) {
+            PartyState state = state(known);
+            synchronized (state) {
+                if (state.isRetired()) {
+                    continue;
+                }
+                long nowNanos = nanoClock.getAsLong();
+                refresh(state, nowNanos);
+                decision = state.decide(request, nowNanos);
+            }
+            break;
+        }
+        return new QuotaGrant(
+                options.server(),
+                grantIds.incrementAndGet(),
+                request.requestId(),
+                request.party(),
+                decision.calls(),
+                options.grantMillis(),
+                decision.readyCalls(),
+                settledRoster());
+    }
+
+    /** Renews grants, asks for more, gives back what is not needed, and forgets what is over. */
+    public void tick() {
+        if (snapshot == null) {
+            return;
+        }
+        confirmRoster();
+        for (PartyState state : states.values()) {
+            List<Outgoing> outgoing = new ArrayList<>();
+            synchronized (state) {
+                long nowNanos = nanoClock.getAsLong();
+                refresh(state, nowNanos);
+                if (snapshot.parties().containsKey(state.party())) {
+                    plan(state, nowNanos, outgoing);
+                } else if (state.retire(nowNanos)) {
+                    states.remove(state.party());
+                }
+            }
+            for (Outgoing each : outgoing) {
+                send(state, each);
+            }
+        }
+    }
+
+    /** Calls of the party that this node may admit in any window, now; for status and metrics. */
+    public int quotaCalls(String party) {
+        PartyState state = states.get(party);
+        if (state == null) {
+            return 0;
+        }
+        synchronized (state) {
+            return state.quota(nanoClock.getAsLong());
+        }
+    }
+
+    private void plan(PartyState state, long nowNanos, List<Outgoing> outgoing) {
+        Snapshot current = snapshot;
+        Party party = current.parties().get(state.party());
+        Roster roster = currentRoster();
+        HolderDirectory.Placement placement = holders.placement(roster, party.name());
+        List<PartyState.Ask> asks = state.plan(
+                placement.askOrder(),
+                holder -> addresses.peerAddress(holder).isPresent() ? placement.share(party.limitCalls(), holder) : 0,
+                nowNanos);
+        for (PartyState.Ask ask : asks) {
+            String address = addresses.peerAddress(ask.holder()).orElse(null);
+            if (address == null) {
+                continue;
+            }
+            long requestId = requestIds.incrementAndGet();
+            int held = state.send(ask, requestId, nowNanos);
+            QuotaRequest request = new QuotaRequest(
+                    options.server(),
+                    options.incarnation(),
+                    requestId,
+                    party.name(),
+                    current.revision(),
+                    ask.wantCalls(),
+                    options.grantMillis(),
+                    held);
+            outgoing.add(new Outgoing(ask.holder(), address, request));
+        }
+    }
+
+    private void send(PartyState state, Outgoing outgoing) {
+        QuotaRequest request = outgoing.request;
+        link.request(outgoing.address, request).whenComplete((reply, failure) -> {
+            synchronized (state) {
+                if (reply instanceof QuotaGrant grant
+                        && grant.holder().equals(outgoing.holder)
+                        && grant.party().equals(request.party())) {
+                    state.accept(outgoing.holder, grant, nanoClock.getAsLong());
+                } else {
+                    state.fail(outgoing.holder, request.requestId());
+                }
+            }
+            learnSettled(reply);
+        });
+    }
+
+    /** Asks the fleet status, and a peer, whether an earlier roster may still be in use. */
+    private void confirmRoster() {
+        long nowNanos = nanoClock.getAsLong();
+        Roster roster;
+        synchronized (history) {
+            history.trim(longestWindowMillis(), nowNanos);
+            if (history.isConfirmed() || nowNanos < nextConfirmNanos) {
+                return;
+            }
+            nextConfirmNanos = nowNanos + CONFIRM_INTERVAL_NANOS;
+            if (revisions.allWithin(history.currentSinceRevision(), snapshot.revision())) {
+                history.confirm(nowNanos);
+                generation++;
+                return;
+            }
+            roster = history.current();
+        }
+        String peer = roster.servers().get(random.nextInt(roster.servers().size()));
+        if (peer.equals(options.server())) {
+            return;
+        }
+        QuotaRequest probe = new QuotaRequest(
+                options.server(),
+                options.incarnation(),
+                requestIds.incrementAndGet(),
+                PROBE,
+                snapshot.revision(),
+                0,
+                options.grantMillis(),
+                0);
+        addresses.peerAddress(peer).ifPresent(address -> link.request(address, probe)
+                .whenComplete((reply, failure) -> learnSettled(reply)));
+    }
+
+    private void learnSettled(Message reply) {
+        if (!(reply instanceof QuotaGrant grant) || grant.settledRoster() == 0) {
+            return;
+        }
+        synchronized (history) {
+            if (!history.isConfirmed() && history.current().hash() == grant.settledRoster()) {
+                history.confirm(nanoClock.getAsLong());
+                generation++;
+            }
+        }
+    }
+
+    private long settledRoster() {
+        synchronized (history) {
+            return history.isConfirmed() ? history.current().hash() : 0;
+        }
+    }
+
+    private Roster currentRoster() {
+        synchronized (history) {
+            return history.current();
+        }
+    }
+
+    private long longestWindowMillis() {
+        long longest = 0;
+        for (Party party : snapshot.parties().values()) {
+            longest = Math.max(longest, party.windowMillis());
+        }
+        return longest;
+    }
+
+    private PartyState state(Party party) {
+        return states.computeIfAbsent(party.name(), name -> new PartyState(name, party.windowMillis(), periodNanos));
+    }
+
+    /** Applies the newest table, and a base share that has become usable since. */
+    private void refresh(PartyState state, long nowNanos) {
+        List<Roster> rosters;
+        Snapshot current;
+        long currentGeneration;
+        synchronized (history) {
+            current = snapshot;
+            currentGeneration = generation;
+            Party party = current.parties().get(state.party());
+            rosters = history.inForce(party == null ? 0 : party.windowMillis(), nowNanos);
+        }
+        if (state.generation() == currentGeneration && state.rostersInForce() == rosters.size()) {
+            return;
+        }
+        Party party = current.parties().get(state.party());
+        if (party == null) {
+            state.configure(currentGeneration, 0, state.windowMillis(), 0, rosters.size(), nowNanos);
+            return;
+        }
+        int share = Integer.MAX_VALUE;
+        for (Roster roster : rosters) {
+            share = Math.min(
+                    share, holders.placement(roster, party.name()).share(party.limitCalls(), options.server()));
+        }
+        state.configure(currentGeneration, party.limitCalls(), party.windowMillis(), share, rosters.size(), nowNanos);
+    }
+
+    private record Outgoing(String holder, String address, QuotaRequest request) {}
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/WindowCounter.java
@@ -0,0 +1,83 @@
+package io.jaywick.core.limits;
+
+import java.util.Arrays;
+
+/**
+ * Counts events over a sliding window that starts at any instant, in fixed memory. An event is forgotten only when
+ * the whole window has passed since the end of its bucket, so that the count is never too small; it is too large by
+ * at most the events of one bucket. Not safe for concurrent use.
+ */
+public final class WindowCounter {
+
+    private final int[] counts;
+    private final int buckets;
+    private long bucketNanos;
+    private long newest = Long.MIN_VALUE;
+    private long total;
+
+    /**
+     * Starts with an empty window.
+     *
+     * @param buckets parts of the window; the count includes events that are older by up to one part
+     */
+    public WindowCounter(long windowNanos, int buckets) {
+        this.buckets = buckets;
+        this.counts = new int[buckets + 1];
+        this.bucketNanos = bucketNanos(windowNanos, buckets);
+    }
+
+    /** Adds one event. */
+    public void add(long nowNanos) {
+        advance(nowNanos);
+        counts[slot(newest)]++;
+        total++;
+    }
+
+    /** Events within the window that ends now. */
+    public long count(long nowNanos) {
+        advance(nowNanos);
+        return total;
+    }
+
+    /**
+     * Changes the length of the window. The events of the old window are counted as if they happened now, because
+     * their buckets do not fit the new length.
+     */
+    public void resize(long windowNanos, long nowNanos) {
+        long width = bucketNanos(windowNanos, buckets);
+        if (width == bucketNanos) {
+            return;
+        }
+        long kept = count(nowNanos);
+        Arrays.fill(counts, 0);
+        bucketNanos = width;
+        newest = Math.floorDiv(nowNanos, width);
+        total = kept;
+        counts[slot(newest)] = (int) kept;
+    }
+
+    private void advance(long nowNanos) {
+        long current = Math.floorDiv(nowNanos, bucketNanos);
+        if (newest == Long.MIN_VALUE) {
+            newest = current;
+        }
+        if (current - newest > buckets) {
+            Arrays.fill(counts, 0);
+            total = 0;
+            newest = current;
+        }
+        while (newest < current) {
+            newest++;
+            total -= counts[slot(newest)];
+            counts[slot(newest)] = 0;
+        }
+    }
+
+    private int slot(long bucket) {
+        return (int) Math.floorMod(bucket, (long) counts.length);
+    }
+
+    private static long bucketNanos(long windowNanos, int buckets) {
+        return Math.max(1, (windowNanos + buckets - 1) / buckets);
+    }
+}
