Record usage as cumulative lines that claim calls before they start

Cause: I14 asks for a usage record that never over-counts and whose losses are bounded, and nothing counted usage yet.

RecordFold merges lines by the maximum of each counter, so that order and repetition change nothing, and derives for each process what its record may hide.

Conclusion: thin but complete path from a call to a merged process.

--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/CallCounting.java
@@ -0,0 +1,49 @@
+package io.jaywick.core.record;
+
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/** Turns one ended call or dispatch into counters. */
+final class CallCounting {
+
+    /** Names are composed once. Beyond this number, which no set of reasons reaches, they are composed each time. */
+    private static final int MAX_CACHED_NAMES = 1_024;
+
+    private static final Map<String, String> REFUSED_NAMES = new ConcurrentHashMap<>();
+    private static final Map<String, String> UNKNOWN_NAMES = new ConcurrentHashMap<>();
+    private static final Map<String, String> LINK_NAMES = new ConcurrentHashMap<>();
+
+    private CallCounting() {}
+
+    static void add(UsageCounters counters, CallUsage usage) {
+        switch (usage.outcome()) {
+            case ANSWERED -> counters.add(UsageCounters.ANSWERED, 1);
+            case NOT_RUN -> counters.add(name(REFUSED_NAMES, usage.reason(), UsageCounters.REFUSED::concat), 1);
+            default -> counters.add(name(UNKNOWN_NAMES, usage.reason(), UsageCounters.UNKNOWN::concat), 1);
+        }
+        counters.add(UsageCounters.RETRIES, Math.max(0, usage.attempts() - 1));
+        counters.add(UsageCounters.REQUEST_BYTES, usage.requestBytes());
+        counters.add(UsageCounters.RESPONSE_BYTES, usage.responseBytes());
+        if (usage.linkBytes() != 0) {
+            counters.add(name(LINK_NAMES, usage.link(), UsageCounters.LINK_BYTES::concat), usage.linkBytes());
+        }
+    }
+
+    static void add(UsageCounters counters, DispatchUsage usage) {
+        counters.add(UsageCounters.DISPATCHES, 1);
+        counters.add(UsageCounters.RETRIED_DISPATCHES, usage.attempt() > 1 ? 1 : 0);
+        counters.add(UsageCounters.SLOT_MICROS, usage.slotMicros());
+    }
+
+    private static String name(Map<String, String> cache, String suffix, Function<String, String> compose) {
+        String name = cache.get(suffix);
+        if (name == null) {
+            name = compose.apply(suffix);
+            if (cache.size() < MAX_CACHED_NAMES) {
+                cache.put(suffix, name);
+            }
+        }
+        return name;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/LineValues.java
@@ -0,0 +1,51 @@
+package io.jaywick.core.record;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.Map;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+
+/** Reads the values of record lines and keeps one copy of each name. Not thread safe. */
+final class LineValues {
+
+    private static final int MAX_POOLED_NAMES = 100_000;
+
+    private final Map<String, String> names = new HashMap<>();
+
+    static void expect(JsonParser parser, JsonToken token) throws IOException {
+        if (parser.currentToken() != token) {
+            throw new RecordLineException("field '" + parser.currentName() + "' has the wrong type");
+        }
+    }
+
+    static long count(JsonParser parser) throws IOException {
+        expect(parser, JsonToken.VALUE_NUMBER_INT);
+        long value = parser.getLongValue();
+        if (value < 0) {
+            throw new RecordLineException("field '" + parser.currentName() + "' is negative");
+        }
+        return value;
+    }
+
+    static String text(JsonParser parser) throws IOException {
+        expect(parser, JsonToken.VALUE_STRING);
+        return parser.getText();
+    }
+
+    String pooled(JsonParser parser) throws IOException {
+        return pool(text(parser));
+    }
+
+    String pool(String name) {
+        String known = names.get(name);
+        if (known != null) {
+            return known;
+        }
+        if (names.size() < MAX_POOLED_NAMES) {
+            names.put(name, name);
+        }
+        return name;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/ProcessFold.java
@@ -0,0 +1,125 @@
+package io.jaywick.core.record;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Lines of one process merged. The merge takes the maximum of each cumulative counter and the claims of the highest
+ * sequence number, so that it is commutative, associative and idempotent: order and repetition change nothing.
+ */
+public final class ProcessFold {
+
+    private final RecorderIdentity identity;
+    private final Map<UsageKey, UsageCounters> entries = new HashMap<>();
+    private final SequenceSet sequences = new SequenceSet();
+    private long claimSequence;
+    private long claimedCalls;
+    private long claimedDispatches;
+    private long endedCalls;
+    private long endedDispatches;
+    private long lastWrittenMillis;
+    private boolean finalSeen;
+
+    ProcessFold(RecorderIdentity identity) {
+        this.identity = identity;
+    }
+
+    /** Merges one line and returns by how many sets of counters the fold grew. */
+    int merge(RecordLine line) {
+        if (!line.sequences().isEmpty()) {
+            line.sequences().forEach(range -> sequences.add(range.first(), range.last()));
+        } else if (line.kind() != RecordLineKind.QUERY) {
+            sequences.add(line.sequence(), line.sequence());
+        }
+        mergeClaims(line);
+        endedCalls = Math.max(endedCalls, line.endedCalls());
+        endedDispatches = Math.max(endedDispatches, line.endedDispatches());
+        lastWrittenMillis = Math.max(lastWrittenMillis, line.writtenMillis());
+        finalSeen |= line.kind() == RecordLineKind.FINAL;
+        int before = entries.size();
+        for (UsageEntry entry : line.entries()) {
+            UsageCounters counters = entries.get(entry.key());
+            if (counters == null) {
+                entries.put(entry.key(), entry.counters().copy());
+            } else {
+                counters.raiseAll(entry.counters());
+            }
+        }
+        return entries.size() - before;
+    }
+
+    private void mergeClaims(RecordLine line) {
+        if (line.sequence() > claimSequence) {
+            claimSequence = line.sequence();
+            claimedCalls = line.claimedCalls();
+            claimedDispatches = line.claimedDispatches();
+        } else if (line.sequence() == claimSequence) {
+            claimedCalls = Math.max(claimedCalls, line.claimedCalls());
+            claimedDispatches = Math.max(claimedDispatches, line.claimedDispatches());
+        }
+    }
+
+    public RecorderIdentity identity() {
+        return identity;
+    }
+
+    public Map<UsageKey, UsageCounters> entries() {
+        return entries;
+    }
+
+    /** Returns everything folded so far as one line. */
+    RecordLine toLine() {
+        List<UsageEntry> list = new ArrayList<>(entries.size());
+        entries.forEach((key, counters) -> list.add(new UsageEntry(key, counters)));
+        return new RecordLine(
+                finalSeen ? RecordLineKind.FINAL : RecordLineKind.FOLDED,
+                identity,
+                Math.max(1, claimSequence),
+                lastWrittenMillis,
+                claimedCalls,
+                claimedDispatches,
+                endedCalls,
+                endedDispatches,
+                null,
+                List.of(),
+                list,
+                sequences.ranges());
+    }
+
+    /** Returns what the record of this process may hide, given what peers said of it, or null when it is complete. */
+    public ProcessGap gap(PeerHead head) {
+        long countedCalls = 0;
+        long countedDispatches = 0;
+        for (UsageCounters counters : entries.values()) {
+            countedCalls += counters.asked();
+            countedDispatches += counters.get(UsageCounters.DISPATCHES);
+        }
+        long callBound = claimedCalls;
+        long dispatchBound = claimedDispatches;
+        long headSequence = sequences.highest();
+        boolean bounded = true;
+        if (head != null && head.sequence() > claimSequence && !finalSeen) {
+            callBound = Math.max(callBound, head.claimedCalls());
+            dispatchBound = Math.max(dispatchBound, head.claimedDispatches());
+            headSequence = Math.max(headSequence, head.sequence());
+            bounded = head.claimedCalls() > 0 || head.claimedDispatches() > 0;
+        }
+        long missingLines = sequences.missingUpTo(headSequence);
+        if (bounded && missingLines == 0 && callBound == countedCalls && dispatchBound == countedDispatches) {
+            return null;
+        }
+        return new ProcessGap(
+                identity.server(),
+                identity.incarnation(),
+                lastWrittenMillis,
+                finalSeen,
+                missingLines,
+                Math.max(0, endedCalls - countedCalls),
+                Math.max(0, callBound - countedCalls),
+                Math.max(0, endedDispatches - countedDispatches),
+                Math.max(0, dispatchBound - countedDispatches),
+                bounded);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/RecordFold.java
@@ -0,0 +1,148 @@
+package io.jaywick.core.record;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+
+/**
+ * Merges record lines in any order and however often repeated (I14). Counters are held for each process until
+ * {@link #drain}; heads and shares are held to the end.
+ */
+public final class RecordFold {
+
+    private record ProcessId(String server, long incarnation, long process) {}
+
+    private record ShareInForce(long revision, int percent) {}
+
+    private record IncarnationId(String server, long incarnation) {}
+
+    private final Map<ProcessId, ProcessFold> processes = new HashMap<>();
+    private final Map<IncarnationId, PeerHead> heads = new HashMap<>();
+    private final Set<IncarnationId> incarnations = new HashSet<>();
+    private final TreeMap<Long, Map<String, ShareInForce>> shares = new TreeMap<>();
+    private long heldEntries;
+
+    /** Merges one line. */
+    public void merge(RecordLine line) {
+        RecorderIdentity identity = line.identity();
+        ProcessId id = new ProcessId(identity.server(), identity.incarnation(), identity.process());
+        ProcessFold process = processes.get(id);
+        if (process == null) {
+            process = new ProcessFold(identity);
+            processes.put(id, process);
+            incarnations.add(new IncarnationId(identity.server(), identity.incarnation()));
+            heldEntries++;
+        }
+        heldEntries += process.merge(line);
+        for (PeerHead head : line.seen()) {
+            heads.merge(new IncarnationId(head.server(), head.incarnation()), head, RecordFold::later);
+        }
+        mergeShares(line.shares());
+    }
+
+    /** Number of processes and sets of counters in memory. */
+    public long heldEntries() {
+        return heldEntries;
+    }
+
+    /** Hands over every process as one line and forgets it; merging these lines restores the state. */
+    public void drain(Consumer<RecordLine> consumer) {
+        for (ProcessFold process : processes.values()) {
+            consumer.accept(process.toLine());
+        }
+        processes.clear();
+        heldEntries = 0;
+    }
+
+    /** Hands over every process with what it may hide, or null in place of a gap, and forgets the processes. */
+    public void finish(ProcessConsumer consumer, RecordFold heldHeads) {
+        for (ProcessFold process : processes.values()) {
+            RecorderIdentity identity = process.identity();
+            PeerHead head = heldHeads.heads.get(new IncarnationId(identity.server(), identity.incarnation()));
+            consumer.accept(process, process.gap(head));
+        }
+        processes.clear();
+        heldEntries = 0;
+    }
+
+    /** Processes that peers saw running but of which no line was merged. */
+    public List<ProcessGap> unseen() {
+        List<ProcessGap> gaps = new ArrayList<>();
+        heads.forEach((id, head) -> {
+            if (!incarnations.contains(id)) {
+                gaps.add(ProcessGap.unseen(head));
+            }
+        });
+        return gaps;
+    }
+
+    /** Names of the servers that wrote at least one line. */
+    public Set<String> servers() {
+        Set<String> servers = new HashSet<>();
+        incarnations.forEach(id -> servers.add(id.server()));
+        return servers;
+    }
+
+    /**
+     * Agreed share of a party in an hour: that of the highest revision which any node reported in the last hour with a
+     * report up to this one; -1 when there is none.
+     */
+    public int agreedPercent(String party, long hour) {
+        Long reported = shares.floorKey(hour);
+        while (reported != null) {
+            ShareInForce share = shares.get(reported).get(party);
+            if (share != null) {
+                return share.percent();
+            }
+            reported = shares.lowerKey(reported);
+        }
+        return -1;
+    }
+
+    /** Parties with a reported share. */
+    public Set<String> partiesWithShare() {
+        Set<String> parties = new HashSet<>();
+        shares.values().forEach(hour -> parties.addAll(hour.keySet()));
+        return parties;
+    }
+
+    private void mergeShares(AgreedShares reported) {
+        if (reported == null) {
+            return;
+        }
+        Map<String, ShareInForce> hour = shares.computeIfAbsent(reported.hour(), ignored -> new HashMap<>());
+        reported.percents()
+                .forEach((party, percent) -> hour.merge(
+                        party,
+                        new ShareInForce(reported.revision(), percent),
+                        (a, b) ->
+                                b.revision() > a.revision() || b.revision() == a.revision() && b.percent() > a.percent()
+                                        ? b
+                                        : a));
+    }
+
+    private static PeerHead later(PeerHead a, PeerHead b) {
+        if (a.sequence() != b.sequence()) {
+            return a.sequence() > b.sequence() ? a : b;
+        }
+        return new PeerHead(
+                a.server(),
+                a.incarnation(),
+                a.sequence(),
+                Math.max(a.claimedCalls(), b.claimedCalls()),
+                Math.max(a.claimedDispatches(), b.claimedDispatches()));
+    }
+
+    /** Takes one merged process. */
+    @FunctionalInterface
+    public interface ProcessConsumer {
+
+        /** @param gap what the process may hide, or null */
+        void accept(ProcessFold process, ProcessGap gap);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/UsageRecorder.java
@@ -0,0 +1,299 @@
+package io.jaywick.core.record;
+
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+
+import io.jaywick.core.snapshot.HomeRegions;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.snapshot.SnapshotListener;
+
+/**
+ * Counts the usage of one process and writes it as cumulative lines. See docs/design-record.md (I14).
+ *
+ * <p>A call or dispatch starts only when the claims of lines that are already out cover it. When they do not, the
+ * starting thread writes the claim lines itself. When the sink fails, the start fails with
+ * {@link UsageClaimException} and the call must be refused as not run.
+ *
+ * <p>Thread safe. Lines are written under one lock; counting takes only the lock of the thread's own stripe.
+ */
+public final class UsageRecorder implements UsageObserver, SnapshotListener, AutoCloseable {
+
+    private final RecorderIdentity identity;
+    private final InstantSource clock;
+    private final UsageSink sink;
+    private final RecorderLimits limits;
+    private final Runnable claimRequest;
+    private final PeerWitness witness;
+    private final ClaimLedger calls;
+    private final ClaimLedger dispatches;
+    private final UsageStripes stripes;
+    private final UsageTable table;
+    private final Map<UsageKey, UsageCounters> pending = new LinkedHashMap<>();
+    private final Object writeLock = new Object();
+    private volatile Snapshot snapshot;
+    private AgreedShares writtenShares;
+    private long sequence;
+    private long claimedCalls;
+    private long claimedDispatches;
+    private boolean closed;
+
+    /**
+     * @param sink takes the lines; is called under a lock and must not call back
+     * @param claimRequest is run when the claims are nearly used up; {@link #writeClaims} should follow soon on
+     *     another thread
+     * @param peers what other processes said of their records
+     */
+    public UsageRecorder(
+            RecorderIdentity identity,
+            InstantSource clock,
+            UsageSink sink,
+            RecorderLimits limits,
+            Runnable claimRequest,
+            Supplier<? extends Collection<PeerHead>> peers) {
+        this.identity = identity;
+        this.clock = clock;
+        this.sink = sink;
+        this.limits = limits;
+        this.claimRequest = claimRequest;
+        this.witness = new PeerWitness(identity, peers);
+        this.calls = new ClaimLedger(limits.smallestClaim(), limits.largestClaim(), limits.lostLines());
+        this.dispatches = new ClaimLedger(limits.smallestClaim(), limits.largestClaim(), limits.lostLines());
+        this.stripes = new UsageStripes(clock, limits.stripes(), limits.maxKeysPerHour());
+        this.table = new UsageTable(limits.maxKeysPerHour());
+    }
+
+    @Override
+    public void callStarted() {
+        start(calls);
+    }
+
+    @Override
+    public void callEnded(CallUsage usage) {
+        stripes.count(usage, identity.region());
+    }
+
+    @Override
+    public void dispatchStarted() {
+        start(dispatches);
+    }
+
+    @Override
+    public void dispatchEnded(DispatchUsage usage) {
+        stripes.count(usage, identity.region());
+    }
+
+    @Override
+    public void onSnapshot(Snapshot next) {
+        snapshot = next;
+    }
+
+    /** Writes the counters that changed and, after the end of an hour, all of its counters. */
+    public void writeCounters() {
+        synchronized (writeLock) {
+            if (closed) {
+                return;
+            }
+            long hour = stripes.drain(table::add);
+            for (UsageEntry entry : table.takeChanged(hour)) {
+                pending.put(entry.key(), entry.counters());
+            }
+            calls.adaptToInterval();
+            dispatches.adaptToInterval();
+            List<PeerHead> seen = witness.take();
+            AgreedShares shares = sharesToWrite(hour);
+            do {
+                write(RecordLineKind.COUNTERS, shares, seen, calls.propose(), dispatches.propose());
+                shares = null;
+                seen = List.of();
+            } while (!pending.isEmpty());
+        }
+    }
+
+    /** Writes enough claim lines to raise the claims that cover new starts. */
+    public void writeClaims() {
+        synchronized (writeLock) {
+            if (!closed) {
+                calls.growIfUsedUp();
+                dispatches.growIfUsedUp();
+                for (int i = 0; i <= limits.lostLines(); i++) {
+                    writeClaim();
+                }
+            }
+        }
+    }
+
+    /** Writes the last lines. Calls that have not ended by then stay claimed, so that the report prints them. */
+    @Override
+    public void close() {
+        synchronized (writeLock) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            long startedCalls = calls.seal();
+            long startedDispatches = dispatches.seal();
+            long hour = stripes.drain(table::add);
+            for (UsageEntry entry : table.takeChanged(hour)) {
+                pending.put(entry.key(), entry.counters());
+            }
+            for (UsageEntry entry : table.takeAll()) {
+                pending.put(entry.key(), entry.counters());
+            }
+            AgreedShares shares = currentShares(hour);
+            do {
+                boolean last = pending.size() <= limits.maxEntriesPerLine();
+                write(
+                        last ? RecordLineKind.FINAL : RecordLineKind.COUNTERS,
+                        shares,
+                        List.of(),
+                        startedCalls,
+                        startedDispatches);
+            } while (!pending.isEmpty());
+        }
+    }
+
+    /** Current state for the admin port. The lines merge with the written ones and raise no claim. */
+    public List<String> currentLines() {
+        synchronized (writeLock) {
+            stripes.drain(table::add);
+            List<UsageEntry> entries = table.all();
+            List<String> lines = new ArrayList<>();
+            int from = 0;
+            do {
+                int to = Math.min(entries.size(), from + limits.maxEntriesPerLine());
+                lines.add(RecordLineWriter.write(line(
+                        RecordLineKind.QUERY,
+                        null,
+                        List.of(),
+                        claimedCalls,
+                        claimedDispatches,
+                        entries.subList(from, to))));
+                from = to;
+            } while (from < entries.size());
+            return lines;
+        }
+    }
+
+    /** Head of this record for the peers. */
+    public PeerHead head() {
+        synchronized (writeLock) {
+            return new PeerHead(identity.server(), identity.incarnation(), sequence, claimedCalls, claimedDispatches);
+        }
+    }
+
+    private void start(ClaimLedger ledger) {
+        long number = ledger.start();
+        if (!ledger.covers(number)) {
+            cover(ledger, number);
+        } else if (ledger.wantsLines(number)) {
+            claimRequest.run();
+        }
+    }
+
+    private void cover(ClaimLedger ledger, long number) {
+        try {
+            synchronized (writeLock) {
+                if (closed) {
+                    throw new IllegalStateException("the record is closed");
+                }
+                if (!ledger.covers(number)) {
+                    ledger.growIfUsedUp();
+                }
+                while (!ledger.covers(number)) {
+                    writeClaim();
+                }
+            }
+        } catch (RuntimeException e) {
+            ledger.cancel();
+            throw new UsageClaimException("no line of the usage record can be written: " + e.getMessage(), e);
+        }
+    }
+
+    private void writeClaim() {
+        long callClaim = calls.propose();
+        long dispatchClaim = dispatches.propose();
+        send(line(RecordLineKind.CLAIM, null, List.of(), callClaim, dispatchClaim, List.of()));
+    }
+
+    /** Writes the first pending entries and removes them once the line is out. */
+    private void write(
+            RecordLineKind kind, AgreedShares shares, List<PeerHead> seen, long callClaim, long dispatchClaim) {
+        List<UsageEntry> entries = new ArrayList<>();
+        for (Map.Entry<UsageKey, UsageCounters> entry : pending.entrySet()) {
+            if (entries.size() == limits.maxEntriesPerLine()) {
+                break;
+            }
+            entries.add(new UsageEntry(entry.getKey(), entry.getValue()));
+        }
+        send(line(kind, shares, seen, callClaim, dispatchClaim, entries));
+        for (UsageEntry entry : entries) {
+            pending.remove(entry.key());
+        }
+        if (shares != null) {
+            writtenShares = shares;
+        }
+    }
+
+    private void send(RecordLine line) {
+        sink.accept(RecordLineWriter.write(line));
+        sequence = line.sequence();
+        claimedCalls = line.claimedCalls();
+        claimedDispatches = line.claimedDispatches();
+        if (!closed) {
+            calls.raise(claimedCalls);
+            dispatches.raise(claimedDispatches);
+        }
+    }
+
+    private RecordLine line(
+            RecordLineKind kind,
+            AgreedShares shares,
+            List<PeerHead> seen,
+            long callClaim,
+            long dispatchClaim,
+            List<UsageEntry> entries) {
+        return new RecordLine(
+                kind,
+                identity,
+                kind == RecordLineKind.QUERY ? sequence : sequence + 1,
+                clock.millis(),
+                callClaim,
+                dispatchClaim,
+                table.endedCalls(),
+                table.endedDispatches(),
+                shares,
+                seen,
+                entries,
+                List.of());
+    }
+
+    /** Shares are written when they change and once in every hour, so that a lost line hides them for an hour. */
+    private AgreedShares sharesToWrite(long hour) {
+        AgreedShares shares = currentShares(hour);
+        if (shares == null || writtenShares == null || writtenShares.hour() != hour) {
+            return shares;
+        }
+        return writtenShares.percents().equals(shares.percents()) ? null : shares;
+    }
+
+    private AgreedShares currentShares(long hour) {
+        Snapshot current = snapshot;
+        if (current == null) {
+            return null;
+        }
+        Map<String, Integer> percents = new TreeMap<>();
+        for (Party party : current.parties().values()) {
+            if (HomeRegions.allows(party.homeRegions(), identity.region())) {
+                percents.put(party.name(), party.agreedSharePercent());
+            }
+        }
+        return new AgreedShares(current.revision(), hour, percents);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/UsageTable.java
@@ -0,0 +1,73 @@
+package io.jaywick.core.record;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Cumulative counters of one process for the hours that are still open. Used by one thread at a time. */
+final class UsageTable {
+
+    private final int maxKeysPerHour;
+    private final TreeMap<Long, Map<UsageKey, UsageCounters>> hours = new TreeMap<>();
+    private Set<UsageKey> changed = new HashSet<>();
+    private long endedCalls;
+    private long endedDispatches;
+
+    UsageTable(int maxKeysPerHour) {
+        this.maxKeysPerHour = maxKeysPerHour;
+    }
+
+    void add(UsageKey key, UsageCounters delta) {
+        Map<UsageKey, UsageCounters> hour = hours.computeIfAbsent(key.hour(), ignored -> new HashMap<>());
+        UsageKey overflow = UsageKey.overflow(key.hour());
+        int named = hour.containsKey(overflow) ? hour.size() - 1 : hour.size();
+        UsageKey room = named >= maxKeysPerHour && !hour.containsKey(key) ? overflow : key;
+        hour.computeIfAbsent(room, ignored -> new UsageCounters()).addAll(delta);
+        changed.add(room);
+        endedCalls += delta.asked();
+        endedDispatches += delta.get(UsageCounters.DISPATCHES);
+    }
+
+    long endedCalls() {
+        return endedCalls;
+    }
+
+    long endedDispatches() {
+        return endedDispatches;
+    }
+
+    /** Copies the changed counters and all counters of the hours that ended, and forgets the latter. */
+    List<UsageEntry> takeChanged(long currentHour) {
+        List<UsageEntry> entries = new ArrayList<>();
+        while (!hours.isEmpty() && hours.firstKey() < currentHour) {
+            hours.pollFirstEntry().getValue().forEach((key, counters) -> entries.add(new UsageEntry(key, counters)));
+        }
+        for (UsageKey key : changed) {
+            Map<UsageKey, UsageCounters> hour = hours.get(key.hour());
+            if (hour != null) {
+                entries.add(new UsageEntry(key, hour.get(key).copy()));
+            }
+        }
+        changed = new HashSet<>();
+        return entries;
+    }
+
+    /** Copies all counters of the open hours and leaves everything as it is. */
+    List<UsageEntry> all() {
+        List<UsageEntry> entries = new ArrayList<>();
+        for (Map<UsageKey, UsageCounters> hour : hours.values()) {
+            hour.forEach((key, counters) -> entries.add(new UsageEntry(key, counters.copy())));
+        }
+        return entries;
+    }
+
+    /** Copies all counters of the open hours and marks them as written. */
+    List<UsageEntry> takeAll() {
+        changed = new HashSet<>();
+        return all();
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/record/UsageRecorderTestCase.java
@@ -0,0 +1,208 @@
+package io.jaywick.core.record;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+class UsageRecorderTestCase {
+
+    private static final long HOUR_MILLIS = 3_600_000;
+
+    private final List<String> lines = new ArrayList<>();
+    private long nowMillis = 500_000 * HOUR_MILLIS;
+    private boolean sinkFails;
+
+    /** Guards against a call that starts before enough lines with a claim for it are out. */
+    @Test
+    void everyStartIsCoveredByTheClaimOfEachLineThatMayBeTheLastOneCollected() {
+        UsageRecorder recorder = recorder(limits(4, 64, 2, 100, 100));
+        for (int started = 1; started <= 500; started++) {
+            recorder.callStarted();
+            for (RecordLine line : read().subList(lines.size() - 3, lines.size())) {
+                assertThat(line.claimedCalls(), greaterThanOrEqualTo((long) started));
+            }
+        }
+    }
+
+    /** Guards against calls that run while the record cannot be written. */
+    @Test
+    void aStartFailsWhileTheSinkFailsAndTheClaimIsUsedUp() {
+        UsageRecorder recorder = recorder(limits(1, 1, 0, 100, 100));
+        recorder.callStarted();
+        recorder.callStarted();
+        sinkFails = true;
+        assertThrows(UsageClaimException.class, recorder::callStarted);
+        sinkFails = false;
+        recorder.callStarted();
+        recorder.close();
+        assertThat(read().get(lines.size() - 1).claimedCalls(), equalTo(3L));
+    }
+
+    /** Guards against counters that are forgotten when the line that carries them cannot be written. */
+    @Test
+    void countersOfAFailedLineAreInTheNextOne() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 100, 100));
+        call(recorder, "a");
+        nowMillis += HOUR_MILLIS;
+        sinkFails = true;
+        assertThrows(IllegalStateException.class, recorder::writeCounters);
+        sinkFails = false;
+        recorder.close();
+        assertThat(asked(fold()), equalTo(1L));
+    }
+
+    /** Guards against unbounded memory and against calls that vanish at the bound. */
+    @Test
+    void keysBeyondTheBoundAreCountedUnderTheOverflowLabelAndReported() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 3, 100));
+        for (int i = 0; i < 10; i++) {
+            call(recorder, "party" + i);
+        }
+        recorder.close();
+        ProcessFold process = fold();
+        assertThat(process.entries().keySet(), hasSize(4));
+        UsageCounters overflow = process.entries().get(UsageKey.overflow(500_000));
+        assertThat(overflow.asked(), equalTo(7L));
+    }
+
+    /** Guards against an hour whose last counters are lost when the hour changes or the clock steps back. */
+    @Test
+    void hoursAreSeparateAndAClockThatStepsBackReopensNone() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 100, 1));
+        call(recorder, "a");
+        nowMillis += HOUR_MILLIS;
+        call(recorder, "a");
+        recorder.writeCounters();
+        nowMillis -= HOUR_MILLIS;
+        call(recorder, "a");
+        recorder.close();
+        ProcessFold process = fold();
+        assertThat(process.gap(null), nullValue());
+        assertThat(process.entries().get(key("a", 500_000)).asked(), equalTo(1L));
+        assertThat(process.entries().get(key("a", 500_001)).asked(), equalTo(2L));
+    }
+
+    /** Guards against names of region-bound calls in lines of nodes outside their regions. */
+    @Test
+    void regionBoundCallsAreNamedOnlyInsideTheirRegions() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 100, 100));
+        recorder.callStarted();
+        recorder.callEnded(usage("secret", true, false));
+        recorder.callStarted();
+        recorder.callEnded(usage("named", true, true));
+        recorder.close();
+        assertThat(String.join("", lines).contains("secret"), equalTo(false));
+        assertThat(fold().entries().get(key("named", 500_000)).asked(), equalTo(1L));
+        assertThat(
+                fold().entries()
+                        .get(UsageKey.regionBound("gulf", false, 500_000))
+                        .asked(),
+                equalTo(1L));
+    }
+
+    /** Guards against a shutdown that hides the calls still in flight. */
+    @Test
+    void callsInFlightAtTheEndStayClaimed() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 100, 100));
+        call(recorder, "a");
+        recorder.callStarted();
+        recorder.close();
+        assertThat(fold().gap(null).callBound(), equalTo(1L));
+        assertThat(fold().gap(null).finalSeen(), equalTo(true));
+    }
+
+    /** Guards against a large claim that outlives the load that caused it. */
+    @Test
+    void theClaimOfAnIdleProcessShrinks() {
+        UsageRecorder recorder = recorder(limits(4, 10_000, 2, 100, 100));
+        for (int i = 0; i < 5_000; i++) {
+            call(recorder, "a");
+        }
+        for (int i = 0; i < 6; i++) {
+            recorder.writeCounters();
+        }
+        assertThat(fold().gap(null).callBound(), lessThanOrEqualTo(4L));
+    }
+
+    /** Guards against admin answers that change the record or count twice with it. */
+    @Test
+    void linesOfTheAdminPortMergeWithTheWrittenOnes() {
+        UsageRecorder recorder = recorder(limits(8, 8, 0, 100, 100));
+        call(recorder, "a");
+        List<String> current = recorder.currentLines();
+        recorder.writeCounters();
+        lines.addAll(0, current);
+        recorder.close();
+        assertThat(asked(fold()), equalTo(1L));
+        assertThat(fold().gap(null), nullValue());
+    }
+
+    private UsageRecorder recorder(RecorderLimits limits) {
+        RecorderIdentity identity = new RecorderIdentity("s1", "d1", "gulf", nowMillis, 7);
+        return new UsageRecorder(
+                identity,
+                () -> Instant.ofEpochMilli(nowMillis),
+                line -> {
+                    if (sinkFails) {
+                        throw new IllegalStateException("sink is closed");
+                    }
+                    lines.add(line);
+                },
+                limits,
+                () -> {},
+                List::of);
+    }
+
+    private static RecorderLimits limits(long smallest, long largest, int lostLines, int keys, int entries) {
+        return new RecorderLimits(smallest, largest, lostLines, keys, entries, 1);
+    }
+
+    private static void call(UsageRecorder recorder, String party) {
+        recorder.callStarted();
+        recorder.callEnded(usage(party, false, false));
+    }
+
+    private static CallUsage usage(String party, boolean bound, boolean home) {
+        return new CallUsage(party, "svc", "r", "gulf", bound, home, 1, 0, CallOutcome.ANSWERED, "", 10, 20, "", 0);
+    }
+
+    private static UsageKey key(String party, long hour) {
+        return new UsageKey("", party, "svc", "r", "gulf", false, hour);
+    }
+
+    private List<RecordLine> read() {
+        RecordLineReader reader = new RecordLineReader();
+        List<RecordLine> read = new ArrayList<>();
+        for (String line : lines) {
+            byte[] bytes = line.getBytes(StandardCharsets.UTF_8);
+            read.add(reader.read(bytes, bytes.length));
+        }
+        return read;
+    }
+
+    private ProcessFold fold() {
+        RecordFold fold = new RecordFold();
+        read().forEach(fold::merge);
+        List<ProcessFold> processes = new ArrayList<>();
+        fold.finish((process, gap) -> processes.add(process), fold);
+        assertThat(processes, hasSize(1));
+        return processes.get(0);
+    }
+
+    private static long asked(ProcessFold process) {
+        return process.entries().values().stream()
+                .mapToLong(UsageCounters::asked)
+                .sum();
+    }
+}
