--- a/jaywick-node/src/main/java/io/jaywick/node/source/InstanceEntry.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/source/InstanceEntry.java
@@ -3,12 +3,8 @@
 /**
  * One instance as the platform lists it.
  *
-<<<<<<< HEAD
  * @param peerAddress HOST:PORT for frames
  * @param ingressAddress HOST:PORT for calls
-=======
- * @param state {@code live} or {@code leaving}
->>>>>>> distribution
  */
 public record InstanceEntry(
         String server,
@@ -17,8 +13,4 @@
         String service,
         String peerAddress,
         String ingressAddress,
-<<<<<<< HEAD
         InstanceState state) {}
-=======
-        String state) {}
->>>>>>> distribution
