Add the bench of distribution strategies

The choice of announce and pull needs figures beside the naive version, the flood and the tree. Real nodes and the codec run over loopback TCP in one process; the 12 ms between regions are added at the link interface.

Checks of relays and readers now are digests that carry only their sender, and a message without an address no longer revives a suspect.

--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/RegionalTraffic.java
@@ -0,0 +1,79 @@
+package io.jaywick.cli.bench;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.node.frame.FrameCodec;
+import reactor.core.scheduler.Scheduler;
+
+/** Delays messages between regions and counts the bytes of each regional link in both directions. */
+final class RegionalTraffic {
+
+    /** One-way latency between regions, docs/design.md, section 1. */
+    static final long LATENCY_MILLIS = 12;
+
+    private final FrameCodec codec = new FrameCodec();
+    private final Scheduler scheduler;
+    private final Map<String, String> regionByAddress = new ConcurrentHashMap<>();
+    private final Map<String, LongAdder> bytes = new ConcurrentHashMap<>();
+
+    RegionalTraffic(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    void place(String address, String region) {
+        regionByAddress.put(address, region);
+    }
+
+    void add(String from, String to, long count) {
+        String link = from.compareTo(to) < 0 ? from + "-" + to : to + "-" + from;
+        bytes.computeIfAbsent(link, key -> new LongAdder()).add(count);
+    }
+
+    /** Bytes of each regional link so far. */
+    Map<String, Long> bytesByLink() {
+        Map<String, Long> result = new TreeMap<>();
+        bytes.forEach((link, count) -> result.put(link, count.sum()));
+        return result;
+    }
+
+    long total() {
+        return bytes.values().stream().mapToLong(LongAdder::sum).sum();
+    }
+
+    /** The link of a node of the region, with the delay to other regions. */
+    PeerLink from(String region, PeerLink link) {
+        return (address, message) -> {
+            String to = regionByAddress.getOrDefault(address, region);
+            if (to.equals(region)) {
+                return link.request(address, message);
+            }
+            CompletableFuture<Message> reply = new CompletableFuture<>();
+            count(region, to, message);
+            later(() -> link.request(address, message)
+                    .whenComplete((answer, failure) -> later(() -> {
+                        if (failure != null) {
+                            reply.completeExceptionally(failure);
+                        } else {
+                            count(region, to, answer);
+                            reply.complete(answer);
+                        }
+                    })));
+            return reply;
+        };
+    }
+
+    private void count(String from, String to, Message message) {
+        add(from, to, codec.encode(FrameCodec.CURRENT, 1, message).length);
+    }
+
+    private void later(Runnable task) {
+        scheduler.schedule(task, LATENCY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measurements of strategies side by side.
+ */
+package io.jaywick.cli.bench;
--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/ContentTransfer.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/ContentTransfer.java
@@ -1,18 +1,15 @@
 package io.jaywick.core.distribution;
 
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.CharacterCodingException;
-import java.nio.charset.StandardCharsets;
-import java.util.EnumMap;
-import java.util.Map;
-import java.util.TreeMap;
+import java.util.Arrays;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
 import java.util.zip.Inflater;
 
 import io.jaywick.core.message.ContentPart;
-import io.jaywick.core.table.Sheet;
 import io.jaywick.core.table.TableContent;
+import io.jaywick.core.table.TableFormatException;
+import io.jaywick.core.table.TableRows;
 
 /** The canonical content in the form in which it is transferred in full: deflated and cut into parts. */
 public final class ContentTransfer {
@@ -42,7 +39,7 @@
         int parts = Math.max(1, (compressed.length + PART_BYTES - 1) / PART_BYTES);
         int part = number < 0 || number >= parts ? 0 : number;
         int from = part * PART_BYTES;
-        byte[] data = java.util.Arrays.copyOfRange(compressed, from, Math.min(compressed.length, from + PART_BYTES));
+        byte[] data = Arrays.copyOfRange(compressed, from, Math.min(compressed.length, from + PART_BYTES));
         return new ContentPart(revision, hash, part, parts, data);
     }
 
@@ -52,47 +49,11 @@
         if (bytes == null) {
             return null;
         }
-        String text;
         try {
-            text = StandardCharsets.UTF_8
-                    .newDecoder()
-                    .decode(java.nio.ByteBuffer.wrap(bytes))
-                    .toString();
-        } catch (CharacterCodingException e) {
+            return TableRows.parseCanonicalBytes(bytes);
+        } catch (TableFormatException e) {
             return null;
         }
-        Map<Sheet, Map<String, String>> rows = new EnumMap<>(Sheet.class);
-        Sheet sheet = null;
-        for (String line : text.split("\n")) {
-            Sheet header = line.startsWith("#") ? Sheet.byName(line.substring(1)) : null;
-            if (header != null) {
-                sheet = header;
-                rows.put(sheet, new TreeMap<>());
-            } else if (sheet == null) {
-                return null;
-            } else {
-                rows.get(sheet).put(key(sheet, line), line);
-            }
-        }
-        return new TableContent(rows);
-    }
-
-    /** Key of a canonical row: its leading fields joined with a comma, without the quotes around a whole field. */
-    private static String key(Sheet sheet, String row) {
-        StringBuilder key = new StringBuilder();
-        int position = 0;
-        for (int field = 0; field < sheet.keyColumns() && position <= row.length(); field++) {
-            boolean quoted = position < row.length() && row.charAt(position) == '"';
-            int start = quoted ? position + 1 : position;
-            int end = row.indexOf(quoted ? '"' : ',', start);
-            end = end < 0 ? row.length() : end;
-            if (field > 0) {
-                key.append(',');
-            }
-            key.append(row, start, end);
-            position = end + (quoted ? 2 : 1);
-        }
-        return key.toString();
     }
 
     private static byte[] deflate(byte[] bytes) {
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/TableVersionCheck.java
@@ -0,0 +1,31 @@
+package io.jaywick.core.distribution;
+
+import java.util.List;
+
+import io.jaywick.core.snapshot.SnapshotBuilder;
+import io.jaywick.core.table.TableContent;
+import io.jaywick.core.table.TableProblem;
+import io.jaywick.core.verdict.TableVerdict;
+
+/** Accepts what the verdict of docs/design.md, section 3, accepts. */
+public final class TableVersionCheck implements VersionCheck {
+
+    @Override
+    public CheckedVersion checkPacked(long revision, byte[] packed) {
+        return checked(revision, TableVerdict.ofPacked(packed));
+    }
+
+    @Override
+    public CheckedVersion checkContent(long revision, TableContent content) {
+        return checked(revision, TableVerdict.ofContent(content));
+    }
+
+    private static CheckedVersion checked(long revision, TableVerdict verdict) {
+        if (verdict.accepted()) {
+            return CheckedVersion.accepted(SnapshotBuilder.build(revision, verdict.content()));
+        }
+        List<String> problems =
+                verdict.problems().stream().map(TableProblem::line).toList();
+        return CheckedVersion.rejected(verdict.hash().hex(), problems);
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/FleetReporter.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/FleetReporter.java
@@ -79,7 +79,7 @@
     }
 
     Message answer(Report report) {
-        state.contacted(report.from());
+        state.spokenTo(report.from());
         Received received = new Received(
                 new Count(
                         report.from(),
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/LinkLimits.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/LinkLimits.java
@@ -10,6 +10,9 @@
  */
 public record LinkLimits(int queueMessages, int connectMillis, long replyMillis, long idleMillis) {
 
-    /** Values of docs/design.md, section 4. */
-    public static final LinkLimits DEFAULTS = new LinkLimits(64, 1_000, 5_000, 30_000);
+    /**
+     * Values of docs/design.md, section 4. Each of 8 neighbours gets a digest every 11 s, so that an idle time of 15 s
+     * keeps these links and soon closes those to random peers.
+     */
+    public static final LinkLimits DEFAULTS = new LinkLimits(64, 1_000, 5_000, 15_000);
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/NodeState.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/NodeState.java
@@ -82,9 +82,22 @@
         loop.await(link.request(address, message), timeoutMillis, onResult);
     }
 
-    /** Notes that a server spoke to this node. */
+    /** Notes that a server answered at the address known of it. */
     void contacted(String server) {
         membership.answered(server);
+        noteSourceRegion(server);
+    }
+
+    /** Notes that a server sent a message, which does not prove that the address known of it is still its own. */
+    void spokenTo(String server) {
+        Peer peer = membership.peer(server);
+        if (peer != null && membership.isAlive(peer)) {
+            membership.answered(server);
+        }
+        noteSourceRegion(server);
+    }
+
+    private void noteSourceRegion(String server) {
         Peer peer = membership.peer(server);
         if (peer != null && peer.region().equals(config.source().region())) {
             sourceRegionMillis = loop.nowMillis();
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
@@ -89,13 +89,14 @@
     /** Answers a digest with one of this node, so that a single exchange informs both. */
     Message answer(Digest digest) {
         takeDigest(digest);
-        String region = regionOf(digest.from());
-        return digest(region);
+        // A digest that only carries its sender is a check, and its answer is as short.
+        int entries = Math.min(EXCHANGED_ENTRIES, Math.max(0, digest.peers().size() - 1));
+        return digest(regionOf(digest.from()), entries);
     }
 
     /** Answers an announcement with the version of this node. */
     Message answer(Announce announce) {
-        state.contacted(announce.from());
+        state.spokenTo(announce.from());
         Peer peer = state.membership.peer(announce.from());
         if (peer != null) {
             compare(announce.revision(), announce.hash(), peer);
@@ -105,7 +106,7 @@
 
     /** Asks a peer of which only the address is known. */
     void digestTo(String address) {
-        state.ask(address, digest(""), ANSWER_MILLIS, (reply, failure) -> {
+        state.ask(address, digest("", EXCHANGED_ENTRIES), ANSWER_MILLIS, (reply, failure) -> {
             if (reply instanceof Digest digest) {
                 takeDigest(digest);
             }
@@ -117,8 +118,12 @@
             seeds();
             return;
         }
+        digestTo(peer, EXCHANGED_ENTRIES, () -> {});
+    }
+
+    private void digestTo(Peer peer, int entries, Runnable onFailure) {
         String server = peer.server();
-        state.ask(peer, digest(peer.region()), ANSWER_MILLIS, reply -> {
+        Consumer<Message> onReply = reply -> {
             if (reply instanceof Digest digest) {
                 if (!digest.from().equals(server)) {
                     // Another server took over the address.
@@ -126,7 +131,8 @@
                 }
                 takeDigest(digest);
             }
-        });
+        };
+        state.ask(peer, digest(peer.region(), entries), ANSWER_MILLIS, onReply, onFailure);
     }
 
     /** A random server of the own data centre or of another one; suspects are tried when nobody is alive. */
@@ -181,32 +187,37 @@
     private void probe(Map<String, List<Peer>> relays, Map<String, Peer> suspectsByPlace, String own) {
         relays.forEach((place, peers) -> {
             if (!place.equals(own)) {
-                send(peers.get(0), announce());
+                check(peers.get(0), () -> {});
             }
         });
         suspectsByPlace.forEach((place, peer) -> {
             if (!place.equals(own) && !relays.containsKey(place)) {
-                send(peer, announce());
+                check(peer, () -> {});
             }
         });
     }
 
+    /** Sends a digest that carries only this node, so that a relay that came back elsewhere is known at once. */
+    private void check(Peer peer, Runnable onFailure) {
+        digestTo(peer, 0, onFailure);
+    }
+
     /**
-     * Checks whether a server that ranks above this one still lives. The first candidates do so every second; of the
-     * others each does so with a probability that falls with its rank, which keeps the load on the first ones bounded.
+     * Checks whether a server that ranks above this one still lives. The first candidates do so every other second; of
+     * the others each does so with a probability that falls with its rank, which bounds the load on the first ones.
      */
     private void checkAbove(List<Peer> above, int rank) {
         if (rank == 0 || above.isEmpty()) {
             return;
         }
-        if (rank <= Roles.CANDIDATES || state.random.nextInt(rank) < 2) {
+        if (state.random.nextInt(Math.max(rank, Roles.CANDIDATES)) < Roles.CANDIDATES / 2) {
             check(above, state.random.nextInt(above.size()), above.size());
         }
     }
 
     private void check(List<Peer> above, int index, int left) {
         if (left > 0) {
-            send(above.get(index), announce(), () -> check(above, (index + 1) % above.size(), left - 1));
+            check(above.get(index), () -> check(above, (index + 1) % above.size(), left - 1));
         }
     }
 
@@ -231,16 +242,11 @@
     }
 
     private void send(Peer peer, Announce announce) {
-        send(peer, announce, () -> {});
-    }
-
-    private void send(Peer peer, Announce announce, Runnable onFailure) {
-        Consumer<Message> onReply = reply -> {
+        state.ask(peer, announce, ANSWER_MILLIS, reply -> {
             if (reply instanceof UpToDate other) {
                 compare(other.revision(), other.hash(), peer);
             }
-        };
-        state.ask(peer, announce, ANSWER_MILLIS, onReply, onFailure);
+        });
     }
 
     private void takeDigest(Digest digest) {
@@ -250,7 +256,7 @@
             entries = new ArrayList<>(entries.subList(1, entries.size()));
         }
         state.membership.learned(entries);
-        state.contacted(digest.from());
+        state.spokenTo(digest.from());
         suspects.incoming(digest.suspects());
         Peer peer = state.membership.peer(digest.from());
         if (peer != null) {
@@ -285,12 +291,12 @@
         return new Announce(state.self(), state.tracker.revision(), state.tracker.hash());
     }
 
-    private Digest digest(String region) {
+    private Digest digest(String region, int entries) {
         return new Digest(
                 state.self(),
                 state.tracker.revision(),
                 state.tracker.hash(),
-                state.membership.exchange(EXCHANGED_ENTRIES),
+                state.membership.exchange(entries),
                 suspects.outgoing(region));
     }
 }
