--- a/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
@@ -172,7 +172,8 @@
         handlers.register(Announce.class, message -> loop.call(() -> spreader.answer((Announce) message)));
         handlers.register(PullRequest.class, message -> loop.call(() -> server.answer((PullRequest) message)));
         handlers.register(Report.class, message -> loop.call(() -> reporter.answer((Report) message)));
-        handlers.register(FleetQuery.class, message -> loop.call(() -> reporter.answer((FleetQuery) message)));
+        handlers.register(FleetQuery.class, message -> loop.call(() -> reporter.answer((FleetQuery) message))
+                .thenCompose(reply -> reply));
         handlers.register(
                 DeltaReply.class,
                 message -> loop.call(() -> {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/FleetReporter.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/FleetReporter.java
@@ -35,12 +35,17 @@
     private static final int SERVER_REPORT = -1;
     private static final int FRESH_INTERVALS = 3;
     private static final long QUERY_MILLIS = 2_000;
+    private static final long FORWARD_TIMEOUT_MILLIS = 1_000;
     private static final int QUERIED_HEADS = 2;
 
+    /** Time over which a head gathers the reports that follow an edit. */
+    private static final long FORWARD_MILLIS = 250;
+
     private final NodeState state;
     private final Map<String, Received> servers = new LinkedHashMap<>();
     private final Map<Integer, Received> groups = new HashMap<>();
     private Snapshot counted;
+    private boolean forwarding;
     private final Map<String, Integer> rosterByDataCentre = new HashMap<>();
 
     FleetReporter(NodeState state) {
@@ -57,6 +62,10 @@
         Report own = new Report(
                 state.self(), dataCentre(), SERVER_REPORT, snapshot.revision(), snapshot.hash(), 1, 1, List.of());
         send(groupHead(group(state.self())), own);
+        reportGroups();
+    }
+
+    private void reportGroups() {
         dropOld();
         Map<Integer, List<Count>> byGroup = new HashMap<>();
         for (Received received : servers.values()) {
@@ -90,7 +99,14 @@
                         report.laggards()),
                 state.loop.nowMillis());
         if (report.group() == SERVER_REPORT) {
-            servers.put(report.from(), received);
+            Received known = servers.put(report.from(), received);
+            if ((known == null || known.count.revision() < report.revision()) && !forwarding) {
+                forwarding = true;
+                state.loop.after(FORWARD_MILLIS, () -> {
+                    forwarding = false;
+                    reportGroups();
+                });
+            }
         } else {
             dropOld();
             // Two heads of one group may overlap, so only the one that knows more servers counts.
@@ -102,18 +118,38 @@
         return new Ack(state.self());
     }
 
-    Message answer(FleetQuery query) {
+    /**
+     * Answers with the counts of the own data centre. The asking node may not know the head, because it takes it for a
+     * suspect, so a member that is not the head itself passes the query on.
+     */
+    CompletableFuture<Message> answer(FleetQuery query) {
+        CompletableFuture<Message> result = new CompletableFuture<>();
+        String head = dataCentreHeads(dataCentre()).get(0);
+        Peer peer = state.membership.peer(head);
+        if (query.forwarded() || peer == null) {
+            result.complete(counts(query.dataCentre()));
+        } else {
+            state.ask(
+                    peer,
+                    new FleetQuery(query.dataCentre(), true),
+                    FORWARD_TIMEOUT_MILLIS,
+                    result::complete,
+                    () -> result.complete(counts(query.dataCentre())));
+        }
+        return result;
+    }
+
+    private FleetReply counts(String dataCentre) {
         dropOld();
         List<Count> counts = new ArrayList<>();
         groups.forEach((group, received) -> {
             Count count = received.count;
-            String name = query.dataCentre() + " group " + group;
+            String name = dataCentre + " group " + group;
             counts.add(
                     new Count(name, count.revision(), count.hash(), count.inForce(), count.known(), count.laggards()));
         });
         Count sum = FleetTally.sum(counts);
-        return new FleetReply(
-                query.dataCentre(), sum.revision(), sum.hash(), sum.inForce(), sum.known(), sum.laggards());
+        return new FleetReply(dataCentre, sum.revision(), sum.hash(), sum.inForce(), sum.known(), sum.laggards());
     }
 
     /** Queries the heads of all data centres of the roster. */
@@ -163,10 +199,10 @@
     }
 
     private void query(String head, String dataCentre, Consumer<Message> onReply) {
-        FleetQuery query = new FleetQuery(dataCentre);
+        FleetQuery query = new FleetQuery(dataCentre, false);
         Peer peer = state.membership.peer(head);
         if (head.equals(state.self())) {
-            onReply.accept(answer(query));
+            onReply.accept(counts(dataCentre));
         } else if (peer == null) {
             onReply.accept(null);
         } else {
@@ -193,22 +229,23 @@
     }
 
     private String groupHead(int group) {
-        return heads(dataCentre(), "group-head " + group, group).get(0);
+        return heads(dataCentre(), "group-head " + group, group, true).get(0);
     }
 
     private List<String> dataCentreHeads(String dataCentre) {
-        return heads(dataCentre, "head", -1);
+        List<String> heads = heads(dataCentre, "head", -1, true);
+        return heads.isEmpty() ? heads(dataCentre, "head", -1, false) : heads;
     }
 
     /** The first living members of a data centre or group for a purpose; empty only for a foreign data centre. */
-    private List<String> heads(String dataCentre, String purpose, int group) {
+    private List<String> heads(String dataCentre, String purpose, int group, boolean alive) {
         List<String> heads = new ArrayList<>(QUERIED_HEADS + 1);
         if (dataCentre.equals(dataCentre())) {
             heads.add(state.self());
         }
         for (Peer peer : state.membership.peers()) {
             boolean member = peer.dataCentre().equals(dataCentre) && (group < 0 || group(peer.server()) == group);
-            if (!member || !state.membership.isAlive(peer)) {
+            if (!member || state.membership.isAlive(peer) != alive) {
                 continue;
             }
             long score = Rendezvous.score(purpose, peer.server());
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
@@ -176,6 +176,7 @@
                     roles.suspectsByRegion(),
                     state.membership.self().region());
         }
+        keepContact(roles);
         if (roles.relayRank() == 0) {
             probe(
                     inRegion(roles),
@@ -184,6 +185,22 @@
         }
     }
 
+    /**
+     * The other relays that would read the source in place of their region ask a relay of the source's region before
+     * they take it for unreachable.
+     */
+    private void keepContact(Roles roles) {
+        boolean standsBy = !state.isInSourceRegion()
+                && roles.regionRelayRank() > 0
+                && roles.regionRelayRank() < state.config.source().readersPerRegion();
+        List<Peer> relays = roles.relaysByRegion().get(state.config.source().region());
+        if (standsBy
+                && relays != null
+                && state.sourceRegionAgeMillis() > state.config.source().fallbackMillis() / 3) {
+            check(relays.get(roles.regionRelayRank() % relays.size()), () -> {});
+        }
+    }
+
     private void probe(Map<String, List<Peer>> relays, Map<String, Peer> suspectsByPlace, String own) {
         relays.forEach((place, peers) -> {
             if (!place.equals(own)) {
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/PartitionTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/PartitionTestCase.java
@@ -1,5 +1,6 @@
 package io.jaywick.node.peer;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.jaywick.node.peer.TestFleet.Node;
@@ -7,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
@@ -80,6 +82,16 @@
         fleet.converge(3, 8_000, List.copyOf(fleet.inRegion("r2")));
     }
 
+    /** Guards against relays that read the source over a paid link although their region is served. */
+    @Test
+    void servedRegionDoesNotReadTheSource() {
+        fleet.startThreeRegions(10);
+        List<String> calling = new ArrayList<>();
+        fleet.reachesSource = node -> calling.add(node.region);
+        fleet.advance(60_000);
+        assertThat(calling, everyItem(is("r1")));
+    }
+
     @Test
     void wholeSourceRegionDiesInTheMomentOfAnEdit() {
         fleet.startThreeRegions(6);
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
@@ -101,7 +101,7 @@
     void messageWithoutHandlerIsRefusedAndTheConnectionStays() throws Exception {
         TcpPeerLink link = link(new FrameCodec());
         String address = server(new FrameCodec()).address();
-        assertKind(link.request(address, new FleetQuery("dc1")), PeerException.Kind.REFUSED);
+        assertKind(link.request(address, new FleetQuery("dc1", false)), PeerException.Kind.REFUSED);
         assertThat(link.request(address, announce()).get(), is(new Ack("s2")));
         assertThat(link.openConnections(), is(1));
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiPredicate;
+import java.util.function.Predicate;
 
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerEntry;
@@ -34,10 +35,12 @@
     final Map<String, Node> nodes = new LinkedHashMap<>();
     final List<InstanceEntry> list = new ArrayList<>();
     final Set<String> stuck = new HashSet<>();
+    /** Tells whether a message is delivered. */
+    Predicate<Message> delivers = message -> true;
     /** Tells whether one server can reach another. */
     BiPredicate<Node, Node> connected = (from, to) -> true;
     /** Tells whether a server can reach the configuration service. */
-    java.util.function.Predicate<Node> reachesSource = node -> true;
+    Predicate<Node> reachesSource = node -> true;
 
     List<String> seeds = List.of();
     String sourceRegion = "r1";
@@ -211,7 +214,8 @@
             Node peer = nodes.get(address.substring(0, address.indexOf(':')));
             count(message);
             sentByType.merge(message.getClass().getSimpleName(), 1, Integer::sum);
-            if (peer != null && (stuck.contains(peer.server) || !connected.test(this, peer))) {
+            if (peer != null
+                    && (stuck.contains(peer.server) || !delivers.test(message) || !connected.test(this, peer))) {
                 return reply;
             }
             long latency = peer != null && peer.region.equals(region) ? LATENCY_MILLIS : REGION_LATENCY_MILLIS;
