--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/ConnectionLostException.java
@@ -0,0 +1,9 @@
+package io.jaywick.node.proxy;
+
+/** The connection was lost after the first byte of the request may have left and before an answer began. */
+public final class ConnectionLostException extends ProxyException {
+
+    ConnectionLostException(String message, Throwable cause) {
+        super(message, cause);
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressServer.java
@@ -0,0 +1,98 @@
+package io.jaywick.node.proxy;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jaywick.core.admission.SuspectList;
+import io.jaywick.core.retry.RetryPolicy;
+import io.jaywick.core.routing.Router;
+
+/** Takes the calls of the caller beside the node and sends them to the nodes of targets. */
+public final class EgressServer implements AutoCloseable {
+
+    static final long SUSPECT_MILLIS = SuspectList.EXPIRY_MILLIS;
+
+    /** The table's connections per server are shared by all callers; one node needs few of them. */
+    private static final int CONNECTIONS_PER_NODE = 64;
+
+    private final ProxyContext context;
+    private final Router router;
+    private final RetryPolicy retries = new RetryPolicy();
+    private final SuspectList suspects;
+    private final ActiveCalls activeCalls;
+    private final CallMeters meters;
+    private final UpstreamClient upstream;
+    private final HttpListener listener;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile boolean closing;
+
+    EgressServer(ProxyContext context, SuspectList suspects, ActiveCalls activeCalls, String address) {
+        this.context = context;
+        this.suspects = suspects;
+        this.activeCalls = activeCalls;
+        this.router = new Router(
+                context.place().dataCentre(), context.place().region(), context.random(), context.nanoTime());
+        this.meters = new CallMeters("egress", context.meters());
+        this.upstream = new UpstreamClient("egress-" + context.place().server(), CONNECTIONS_PER_NODE);
+        this.listener = new HttpListener(address, (request, response) -> {
+            inFlight.incrementAndGet();
+            return new EgressCall(this, request, response).run();
+        });
+    }
+
+    /** Port of the listener. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Refuses new calls; those in flight go on. */
+    public void shutDown() {
+        closing = true;
+    }
+
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    @Override
+    public void close() {
+        closing = true;
+        listener.close();
+        upstream.close();
+    }
+
+    ProxyContext context() {
+        return context;
+    }
+
+    Router router() {
+        return router;
+    }
+
+    RetryPolicy retries() {
+        return retries;
+    }
+
+    SuspectList suspects() {
+        return suspects;
+    }
+
+    ActiveCalls activeCalls() {
+        return activeCalls;
+    }
+
+    CallMeters meters() {
+        return meters;
+    }
+
+    UpstreamClient upstream() {
+        return upstream;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    void ended() {
+        inFlight.decrementAndGet();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressServer.java
@@ -0,0 +1,201 @@
+package io.jaywick.node.proxy;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jaywick.core.admission.Admission;
+import io.jaywick.core.admission.CrashEpisodes;
+import io.jaywick.core.admission.SuspectLane;
+import io.jaywick.core.admission.SuspectList;
+import io.jaywick.core.retry.KeyMemory;
+import io.jaywick.core.retry.KeyPlacements;
+import io.jaywick.core.snapshot.Route;
+import io.jaywick.core.snapshot.Service;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.snapshot.WeightedService;
+import io.netty.handler.codec.http.HttpMethod;
+import reactor.core.Disposable;
+import reactor.core.publisher.Mono;
+
+/** Takes the calls of other nodes for the target beside the node and has the last word on each. */
+public final class IngressServer implements AutoCloseable {
+
+    /** The target tells with {@code serving} or {@code draining} whether it takes new calls. */
+    public static final String TARGET_STATE_PATH = "/jaywick/state";
+
+    private static final String DRAINING = "draining";
+    /** Time after which a waiting call sees its deadline or a grown ramp at the latest. */
+    private static final long PUMP_MILLIS = 20;
+    /** The drain of a target must be known well within 3 s. */
+    private static final long STATE_MILLIS = 500;
+    /** The loopback connections are bounded by the admitted calls. */
+    private static final int TARGET_CONNECTIONS = 1_024;
+
+    private final ProxyContext context;
+    private final SuspectList suspects;
+    private final ActiveCalls activeCalls;
+    private final String targetAddress;
+    private final Admission admission;
+    private final KeyMemory keys;
+    private final KeyPlacements placements;
+    private final SuspectLane lane = new SuspectLane();
+    private final CrashEpisodes episodes;
+    private final CallMeters meters;
+    private final UpstreamClient upstream;
+    private final HttpListener listener;
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final Disposable pump;
+    private final Disposable statePoll;
+    private volatile Snapshot adopted;
+    private volatile boolean closing;
+
+    IngressServer(
+            ProxyContext context, SuspectList suspects, ActiveCalls activeCalls, String address, String targetAddress) {
+        this.context = context;
+        this.suspects = suspects;
+        this.activeCalls = activeCalls;
+        this.targetAddress = targetAddress;
+        String server = context.place().server();
+        this.admission = new Admission(
+                server, context.settings().queueCapacity(), context.settings().rampMillis(), context.nanoTime());
+        this.keys = new KeyMemory(
+                context.settings().keyWindowMillis(), context.settings().keyCapacity(), context.clock());
+        this.placements = new KeyPlacements(server, context.settings().keyWindowMillis(), context.clock());
+        this.episodes = new CrashEpisodes(
+                server + "-" + Long.toHexString(context.random().nextLong()));
+        this.meters = new CallMeters("ingress", context.meters());
+        this.upstream = new UpstreamClient("ingress-" + server, TARGET_CONNECTIONS);
+        this.listener = new HttpListener(address, (request, response) -> {
+            inFlight.incrementAndGet();
+            return new IngressCall(this, request, response).run();
+        });
+        this.pump = context.timers().schedulePeriodically(this::pump, PUMP_MILLIS, PUMP_MILLIS, TimeUnit.MILLISECONDS);
+        this.statePoll =
+                context.timers().schedulePeriodically(this::readTargetState, 0, STATE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Port of the listener. */
+    public int port() {
+        return listener.port();
+    }
+
+    /** Load, limit and state of the target. */
+    public Admission admission() {
+        return admission;
+    }
+
+    /** Refuses new calls and those that wait; those at the target go on. */
+    public void shutDown() {
+        closing = true;
+        admission.shutDown();
+    }
+
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    @Override
+    public void close() {
+        shutDown();
+        pump.dispose();
+        statePoll.dispose();
+        listener.close();
+        upstream.close();
+    }
+
+    static boolean serves(Route route, Service service) {
+        for (WeightedService weighted : route.services()) {
+            if (weighted.service().name().equals(service.name())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Takes the current table into force; every call and the timer do so, and no listener can be missed. */
+    Snapshot adoptSnapshot() {
+        Snapshot snapshot = context.snapshots().get();
+        if (snapshot != null && snapshot != adopted) {
+            admission.adopt(snapshot);
+            placements.adopt(snapshot);
+            adopted = snapshot;
+        }
+        return snapshot;
+    }
+
+    Load load() {
+        return new Load(admission.inFlight() + admission.queued(), admission.slots(), admission.limit());
+    }
+
+    ProxyContext context() {
+        return context;
+    }
+
+    SuspectList suspects() {
+        return suspects;
+    }
+
+    SuspectLane lane() {
+        return lane;
+    }
+
+    CrashEpisodes episodes() {
+        return episodes;
+    }
+
+    ActiveCalls activeCalls() {
+        return activeCalls;
+    }
+
+    KeyMemory keys() {
+        return keys;
+    }
+
+    KeyPlacements placements() {
+        return placements;
+    }
+
+    CallMeters meters() {
+        return meters;
+    }
+
+    UpstreamClient upstream() {
+        return upstream;
+    }
+
+    String targetAddress() {
+        return targetAddress;
+    }
+
+    boolean isClosing() {
+        return closing;
+    }
+
+    void ended() {
+        inFlight.decrementAndGet();
+    }
+
+    private void pump() {
+        adoptSnapshot();
+        if (admission.queued() > 0) {
+            admission.pump();
+        }
+    }
+
+    /** A target that cannot be asked keeps its last state; its calls tell more than a failed question. */
+    private void readTargetState() {
+        upstream.exchange(
+                        targetAddress,
+                        HttpMethod.GET,
+                        TARGET_STATE_PATH,
+                        headers -> {},
+                        new RequestBody(new byte[0], null),
+                        () -> {},
+                        (response, content) -> response.status().code() == 200
+                                ? content.aggregate().asString().defaultIfEmpty("")
+                                : content.then(Mono.empty()))
+                .timeout(Duration.ofMillis(STATE_MILLIS), context.timers())
+                .subscribe(state -> admission.targetDraining(state.trim().equals(DRAINING)), error -> {});
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/ProxyServer.java
@@ -0,0 +1,87 @@
+package io.jaywick.node.proxy;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.admission.SuspectList;
+import io.jaywick.core.message.SuspectEntry;
+import reactor.core.Disposable;
+
+/** Egress and ingress of one node with what they share. */
+public final class ProxyServer implements AutoCloseable {
+
+    private static final long POLL_MILLIS = 10;
+    /** Callers that have not seen a refusal yet still send; a refusal tells them more than a closed port. */
+    private static final long LINGER_MILLIS = 1_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final ProxyContext context;
+    private final SuspectList suspects;
+    private final EgressServer egress;
+    private final IngressServer ingress;
+
+    /** Listens on HOST:PORT addresses; port 0 takes any free port. */
+    public ProxyServer(ProxyContext context, String egressAddress, String ingressAddress, String targetAddress) {
+        this.context = context;
+        this.suspects = new SuspectList(context.place().region(), context.nanoTime());
+        ActiveCalls activeCalls = new ActiveCalls();
+        this.ingress = new IngressServer(context, suspects, activeCalls, ingressAddress, targetAddress);
+        this.egress = new EgressServer(context, suspects, activeCalls, egressAddress);
+    }
+
+    public EgressServer egress() {
+        return egress;
+    }
+
+    public IngressServer ingress() {
+        return ingress;
+    }
+
+    /** Suspects that may be told to a peer of the region, for its digest. */
+    public List<SuspectEntry> suspectsFor(String peerRegion, int max) {
+        return suspects.entriesFor(peerRegion, max);
+    }
+
+    /** Takes a suspect from a peer's digest. */
+    public void mergeSuspect(SuspectEntry entry) {
+        suspects.merge(entry);
+    }
+
+    /**
+     * Shuts down gracefully: refuses new calls and completes when those in flight have ended, at the latest after
+     * {@code drainMillis}.
+     */
+    public CompletableFuture<Void> shutDown() {
+        ingress.shutDown();
+        egress.shutDown();
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        long start = context.nanoTime().getAsLong();
+        long drainNanos = context.settings().drainMillis() * NANOS_PER_MILLI;
+        long lingerNanos = Math.min(drainNanos, LINGER_MILLIS * NANOS_PER_MILLI);
+        Disposable poll = context.timers()
+                .schedulePeriodically(
+                        () -> {
+                            long elapsed = context.nanoTime().getAsLong() - start;
+                            boolean idle = ingress.inFlight() == 0 && egress.inFlight() == 0;
+                            if (elapsed >= drainNanos || idle && elapsed >= lingerNanos) {
+                                done.complete(null);
+                            }
+                        },
+                        0,
+                        POLL_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        return done.whenComplete((ignored, error) -> {
+            poll.dispose();
+            close();
+        });
+    }
+
+    /** Ends at once, with all calls in flight. */
+    @Override
+    public void close() {
+        egress.close();
+        ingress.close();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/RequestBody.java
@@ -0,0 +1,70 @@
+package io.jaywick.node.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.NettyOutbound;
+import reactor.netty.http.server.HttpServerRequest;
+
+/**
+ * Body of a request to be forwarded. Small bodies of known length are held so that they can be sent again; others pass
+ * through once.
+ *
+ * @param bytes held body, or null when it is streamed
+ * @param stream streamed body, or null
+ */
+record RequestBody(byte[] bytes, Flux<ByteBuf> stream) {
+
+    static final int MAX_HELD_BYTES = 64 * 1024;
+
+    private static final RequestBody EMPTY = new RequestBody(new byte[0], null);
+
+    static Mono<RequestBody> of(HttpServerRequest request) {
+        long length = length(request.requestHeaders());
+        if (length == 0) {
+            return Mono.just(EMPTY);
+        }
+        if (length > 0 && length <= MAX_HELD_BYTES) {
+            return request.receive().aggregate().asByteArray().map(bytes -> new RequestBody(bytes, null));
+        }
+        return Mono.just(streamed(request));
+    }
+
+    /** Passes the body through without holding it. */
+    static RequestBody streamed(HttpServerRequest request) {
+        return length(request.requestHeaders()) == 0
+                ? EMPTY
+                : new RequestBody(null, request.receive().retain());
+    }
+
+    boolean isResendable() {
+        return bytes != null;
+    }
+
+    Publisher<Void> send(NettyOutbound outbound) {
+        if (bytes == null) {
+            return outbound.send(stream);
+        }
+        return bytes.length == 0 ? outbound : outbound.send(Mono.just(Unpooled.wrappedBuffer(bytes)));
+    }
+
+    /** Returns the length, or -1 when it is not known before the end. */
+    private static long length(HttpHeaders headers) {
+        if (headers.contains(HttpHeaderNames.TRANSFER_ENCODING)) {
+            return -1;
+        }
+        String value = headers.get(HttpHeaderNames.CONTENT_LENGTH);
+        if (value == null) {
+            return 0;
+        }
+        try {
+            return Long.parseLong(value);
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+}
