--- a/jaywick-core/src/main/java/io/jaywick/core/table/CanonicalRow.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/CanonicalRow.java
@@ -57,7 +57,7 @@
                 at = end + 1;
             }
         }
-        return fields.size() == sheet.columns().size() ? new SheetRow(sheet, number, List.copyOf(fields)) : null;
+        return fields.size() == sheet.columns().size() ? new SheetRow(sheet, number, List.copyOf(fields), false) : null;
     }
 
     /** Splits a field of home regions at its spaces; an empty field has none. */
--- a/jaywick-core/src/main/java/io/jaywick/core/table/SheetReader.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/SheetReader.java
@@ -83,10 +83,7 @@
             }
             while (lines.hasNextValue()) {
                 number++;
-                SheetRow row = row(number, lines.nextValue(), places);
-                if (row != null) {
-                    rows.add(row);
-                }
+                rows.add(row(number, lines.nextValue(), places));
             }
         } catch (IOException e) {
             problems.add(
@@ -134,25 +131,33 @@
 
     private SheetRow row(int number, String[] values, int[] places) {
         int expected = places[sheet.columns().size()];
-        if (values.length != expected) {
+        boolean complete = values.length == expected;
+        if (!complete) {
             problems.add(
                     ProblemType.WRONG_FIELD_COUNT,
                     sheet,
                     number,
                     "",
-                    "the row has " + values.length + " fields, the header has " + expected);
-            return null;
+                    "the number of fields is " + values.length + ", that of the header is " + expected);
         }
         List<String> fields = new ArrayList<>(sheet.columns().size());
         for (int i = 0; i < sheet.columns().size(); i++) {
-            fields.add(values[places[i]]);
+            fields.add(places[i] < values.length ? values[places[i]] : "");
+        }
+        SheetRow row = new SheetRow(sheet, number, List.copyOf(fields), !complete);
+        return checked(row, problems);
+    }
+
+    /** Returns the row, marked as broken when its length or characters are not allowed. */
+    static SheetRow checked(SheetRow row, ProblemList problems) {
+        if (row.broken() || isClean(row, problems)) {
+            return row;
         }
-        SheetRow row = new SheetRow(sheet, number, List.copyOf(fields));
-        return isClean(row, problems) ? row : null;
+        return new SheetRow(row.sheet(), row.number(), row.fields(), true);
     }
 
     /** Checks length and characters of a row. */
-    static boolean isClean(SheetRow row, ProblemList problems) {
+    private static boolean isClean(SheetRow row, ProblemList problems) {
         int bytes = row.fields().size() - 1;
         boolean clean = true;
         for (int i = 0; i < row.fields().size(); i++) {
--- a/jaywick-core/src/main/java/io/jaywick/core/table/TableRows.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/TableRows.java
@@ -78,8 +78,8 @@
                             "",
                             "row " + TableProblem.shown(entry.getValue()) + " under key "
                                     + TableProblem.shown(entry.getKey()) + " is not in canonical form");
-                } else if (SheetReader.isClean(row, problems)) {
-                    read.add(row);
+                } else {
+                    read.add(SheetReader.checked(row, problems));
                 }
             }
             rows.put(sheet, read);
@@ -97,6 +97,11 @@
         return rows.getOrDefault(sheet, List.of());
     }
 
+    /** Tells whether the sheet could be read and has no broken row. */
+    public boolean isComplete(Sheet sheet) {
+        return has(sheet) && of(sheet).stream().noneMatch(SheetRow::broken);
+    }
+
     /** Sheets that could be read. */
     public Set<Sheet> sheets() {
         return rows.keySet();
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/FieldChecks.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/FieldChecks.java
@@ -62,8 +62,10 @@
         for (Sheet sheet : rows.sheets()) {
             Map<String, Integer> numbers = new HashMap<>();
             for (SheetRow row : rows.of(sheet)) {
-                checkFields(row, problems);
-                checkKey(row, numbers, problems);
+                if (!row.broken()) {
+                    checkFields(row, problems);
+                    checkKey(row, numbers, problems);
+                }
             }
         }
         for (SheetRow row : rows.of(Sheet.SERVICES)) {
@@ -98,7 +100,7 @@
     private static void checkColdStart(SheetRow row, ProblemList problems) {
         BigInteger cold = FieldRule.parse(row.field("cold_start_calls"));
         BigInteger slots = FieldRule.parse(row.field("slots_per_server"));
-        if (cold != null && slots != null && slots.signum() > 0 && cold.compareTo(slots) > 0) {
+        if (!row.broken() && cold != null && slots != null && slots.signum() > 0 && cold.compareTo(slots) > 0) {
             problems.add(
                     ProblemType.NUMBER_OUT_OF_RANGE,
                     row.sheet(),
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/HomeRegionChecks.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/HomeRegionChecks.java
@@ -1,7 +1,10 @@
 package io.jaywick.core.verdict;
 
+import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -19,14 +22,15 @@
  *
  * <p>The state of a data centre does not count: an operator who takes one out of service must never be refused.
  * A party whose home regions have nothing in common with those of a route is excluded from that route on purpose, which
- * is accepted as long as one route remains. Where they overlap, a server must be there.
+ * is accepted as long as one route remains. Where they overlap, each service of the route needs a server, because its
+ * share of the party's calls would otherwise always be refused.
  */
 final class HomeRegionChecks {
 
     private final TableRows rows;
     private final ProblemList problems;
     private final Map<String, Set<String>> regionsOfService = new HashMap<>();
-    private final Map<String, Set<String>> homeOfService = new HashMap<>();
+    private final Map<String, Set<String>> homeOfServices = new HashMap<>();
 
     private HomeRegionChecks(TableRows rows, ProblemList problems) {
         this.rows = rows;
@@ -48,7 +52,7 @@
             regions.put(row.field("data_centre"), row.field("region"));
         }
         for (SheetRow row : rows.of(Sheet.SERVICES)) {
-            homeOfService.put(row.field("service"), home(row));
+            homeOfServices.put(row.field("service"), home(row));
         }
         for (SheetRow row : rows.of(Sheet.SERVERS)) {
             String region = regions.get(row.field("data_centre"));
@@ -74,8 +78,9 @@
     private void checkRoutes() {
         for (SheetRow row : rows.of(Sheet.ROUTES)) {
             String service = row.field("service");
-            Set<String> home = homeOfService.get(service);
-            if (home != null
+            Set<String> home = homeOfServices.get(service);
+            if (!row.broken()
+                    && home != null
                     && hasServer(service, home)
                     && !hasServer(service, HomeRegions.intersection(home(row), home))) {
                 add(
@@ -88,40 +93,43 @@
     }
 
     private void checkParties() {
+        // Parties and routes share few sets of home regions, so each distinct pair is judged once.
+        Map<List<Object>, SheetRow> uses = new LinkedHashMap<>();
+        for (SheetRow route : rows.of(Sheet.ROUTES)) {
+            String service = route.field("service");
+            Set<String> homeOfService = homeOfServices.get(service);
+            if (!route.broken()
+                    && homeOfService != null
+                    && hasServer(service, HomeRegions.intersection(home(route), homeOfService))) {
+                uses.putIfAbsent(List.of(home(route), service), route);
+            }
+        }
+        Map<Set<String>, String> messages = new HashMap<>();
         for (SheetRow party : rows.of(Sheet.PARTIES)) {
-            Set<String> home = home(party);
-            if (home.isEmpty() || rows.of(Sheet.ROUTES).isEmpty()) {
-                continue;
+            String message = party.broken() || home(party).isEmpty() || uses.isEmpty()
+                    ? ""
+                    : messages.computeIfAbsent(home(party), home -> messageFor(home, uses.values()));
+            if (!message.isEmpty()) {
+                add(ProblemType.PARTY_WITHOUT_SERVER, party, message);
             }
-            boolean hasRoute = false;
-            for (SheetRow route : rows.of(Sheet.ROUTES)) {
-                String service = route.field("service");
-                Set<String> homeOfRoute =
-                        HomeRegions.intersection(home(route), homeOfService.getOrDefault(service, Set.of()));
-                if (!hasServer(service, homeOfRoute)) {
-                    hasRoute = true;
-                    continue;
-                }
-                Set<String> allowed = HomeRegions.intersection(home, homeOfRoute);
-                boolean served = hasServer(service, allowed);
-                hasRoute |= served;
-                if (allowed != null && !served) {
-                    hasRoute = true;
-                    add(
-                            ProblemType.PARTY_WITHOUT_SERVER,
-                            party,
-                            "the home regions of the party leave no server for service " + TableProblem.shown(service)
-                                    + " of route " + TableProblem.shown(route.field("route")));
-                    break;
-                }
+        }
+    }
+
+    private String messageFor(Set<String> home, Collection<SheetRow> routes) {
+        boolean hasRoute = false;
+        for (SheetRow route : routes) {
+            Set<String> allowed = HomeRegions.intersection(home, home(route));
+            if (allowed == null) {
+                continue;
             }
-            if (!hasRoute) {
-                add(
-                        ProblemType.PARTY_WITHOUT_SERVER,
-                        party,
-                        "the home regions of the party have nothing in common with those of any route");
+            hasRoute = true;
+            String service = route.field("service");
+            if (!hasServer(service, HomeRegions.intersection(allowed, homeOfServices.get(service)))) {
+                return "the home regions of the party leave no server for service " + TableProblem.shown(service)
+                        + " of route " + TableProblem.shown(route.field("route"));
             }
         }
+        return hasRoute ? "" : "the home regions of the party have nothing in common with those of any route";
     }
 
     private boolean hasServer(String service, Set<String> home) {
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/ReferenceChecks.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/ReferenceChecks.java
@@ -11,13 +11,14 @@
 import io.jaywick.core.table.TableProblem;
 import io.jaywick.core.table.TableRows;
 
-/** Checks that each name that a row refers to has a row. References into an unreadable sheet are not judged. */
+/** Checks that each name that a row refers to has a row. References into an unreadable sheet, and into an empty sheet of
+ * data centres, are not judged: one problem tells it all. */
 final class ReferenceChecks {
 
     private ReferenceChecks() {}
 
     static void check(TableRows rows, ProblemList problems) {
-        if (rows.has(Sheet.DATA_CENTRES)) {
+        if (!rows.of(Sheet.DATA_CENTRES).isEmpty()) {
             checkColumn(rows, Sheet.SERVERS, "data_centre", Sheet.DATA_CENTRES, problems);
             checkRegions(rows, problems);
         }
@@ -31,7 +32,7 @@
         Set<String> names = values(rows, referred, referred.columns().get(0));
         for (SheetRow row : rows.of(sheet)) {
             String name = row.field(column);
-            if (!name.isEmpty() && !names.contains(name)) {
+            if (!row.broken() && !name.isEmpty() && !names.contains(name)) {
                 problems.add(
                         ProblemType.UNKNOWN_REFERENCE,
                         sheet,
@@ -46,6 +47,9 @@
         Set<String> known = values(rows, Sheet.DATA_CENTRES, "region");
         for (Sheet sheet : new Sheet[] {Sheet.SERVICES, Sheet.ROUTES, Sheet.PARTIES}) {
             for (SheetRow row : rows.of(sheet)) {
+                if (row.broken()) {
+                    continue;
+                }
                 for (String region : CanonicalRow.regions(row.field("home_regions"))) {
                     if (!known.contains(region)) {
                         problems.add(
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/RouteChecks.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/RouteChecks.java
@@ -31,6 +31,9 @@
         }
         Map<String, SheetRow> prefixes = new HashMap<>();
         for (List<SheetRow> route : routes.values()) {
+            if (route.stream().anyMatch(SheetRow::broken)) {
+                continue;
+            }
             checkWeights(route, problems);
             checkEqualColumns(route, problems);
             checkPrefix(route.get(0), prefixes, problems);
@@ -99,7 +102,7 @@
 
     private static void checkShares(TableRows rows, ProblemList problems) {
         List<SheetRow> parties = rows.of(Sheet.PARTIES);
-        BigInteger sum = sum(parties, "agreed_share_percent");
+        BigInteger sum = !rows.isComplete(Sheet.PARTIES) ? null : sum(parties, "agreed_share_percent");
         if (sum != null && sum.compareTo(ALL_PERCENT) > 0) {
             problems.add(
                     ProblemType.SHARES_OVER_100,
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/TableVerdict.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/TableVerdict.java
@@ -74,14 +74,15 @@
         FieldChecks.check(rows, problems);
         ReferenceChecks.check(rows, problems);
         RouteChecks.check(rows, problems);
-        if (rows.sheets().size() < Sheet.values().length) {
-            return;
-        }
-        HomeRegionChecks.check(rows, problems);
-        if (rows.sheets().stream().allMatch(sheet -> rows.of(sheet).isEmpty())) {
+        if (rows.sheets().size() == Sheet.values().length
+                && rows.sheets().stream().allMatch(sheet -> rows.of(sheet).isEmpty())) {
             problems.add(ProblemType.EMPTY_TABLE, null, 0, "", "the table has no row");
-        } else if (rows.of(Sheet.DATA_CENTRES).isEmpty()) {
+        } else if (rows.has(Sheet.DATA_CENTRES) && rows.of(Sheet.DATA_CENTRES).isEmpty()) {
             problems.add(ProblemType.NO_DATA_CENTRE, Sheet.DATA_CENTRES, 0, "", "the table has no data centre");
+        } else if (rows.isComplete(Sheet.DATA_CENTRES)
+                && rows.isComplete(Sheet.SERVERS)
+                && rows.isComplete(Sheet.SERVICES)) {
+            HomeRegionChecks.check(rows, problems);
         }
     }
 
