Add the bench of party limits on virtual time

Compares fixed shares, an owner's lease and the escrow limiter under the same faults, judged by the true times of admitted calls.

--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitCase.java
@@ -0,0 +1,149 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+
+/** Demand and faults that the bench applies to every strategy. */
+public enum LimitCase {
+    /** Demand at all servers, no fault. */
+    QUIET("quiet") {
+        @Override
+        void plan(LimitFleet fleet) {
+            fleet.servers()
+                    .forEach(server -> fleet.demand(
+                            server, TOTAL_CALLS_PER_SECOND / fleet.servers().size()));
+        }
+    },
+    /** All demand at one server, moving to another one every 40 s; messages are lost and repeated. */
+    SKEWED("skewed") {
+        @Override
+        void plan(LimitFleet fleet) {
+            fleet.network().faults(LOST, REPEATED, LATE_MILLIS);
+            for (int second = 0; second < RUN_SECONDS; second += MOVE_SECONDS) {
+                at(fleet, second, () -> {
+                    fleet.noDemand();
+                    fleet.demand(any(fleet), TOTAL_CALLS_PER_SECOND);
+                });
+            }
+        }
+    },
+    /** One region is cut off, with demand at one server on each side. */
+    PARTITIONED("partitioned") {
+        @Override
+        void plan(LimitFleet fleet) {
+            fleet.network().faults(LOST, REPEATED, LATE_MILLIS);
+            List<String> cutOff = fleet.serversIn("region-2");
+            fleet.demand(cutOff.get(0), TOTAL_CALLS_PER_SECOND);
+            fleet.demand(fleet.serversIn("region-1").get(0), TOTAL_CALLS_PER_SECOND);
+            at(fleet, 30, () -> fleet.cut(cutOff, 1));
+            at(fleet, 130, fleet::heal);
+        }
+    },
+    /** Servers with and without demand restart, one every 5 s. */
+    RESTARTS("restarts") {
+        @Override
+        void plan(LimitFleet fleet) {
+            skewed(fleet);
+            for (int second = 30; second < RUN_SECONDS; second += 5) {
+                at(fleet, second, () -> fleet.restart(any(fleet)));
+            }
+        }
+    },
+    /** Servers are paused for 20 ms to 40 s at any point, also between two readings of their clock. */
+    PAUSES("pauses") {
+        @Override
+        void plan(LimitFleet fleet) {
+            skewed(fleet);
+            RandomGenerator random = fleet.time().random();
+            for (int second = 30; second < RUN_SECONDS; second += 2) {
+                at(fleet, second, () -> {
+                    long millis = random.nextInt(4) == 0 ? random.nextLong(40_000) : random.nextLong(20, 2_000);
+                    if (random.nextBoolean()) {
+                        fleet.pause(any(fleet), millis);
+                    } else {
+                        fleet.stall(any(fleet), random.nextInt(3), millis);
+                    }
+                });
+            }
+        }
+    },
+    /** The limit and the window change while calls are admitted. */
+    EDIT("edit") {
+        @Override
+        void plan(LimitFleet fleet) {
+            skewed(fleet);
+            at(fleet, 40, () -> fleet.edit(500, 2_000));
+            at(fleet, 70, () -> fleet.edit(1_000, 2_000));
+            at(fleet, 100, () -> fleet.edit(1_000, 4_000));
+            at(fleet, 140, () -> fleet.edit(1_000, 2_000));
+        }
+    },
+    /** Everything at once: restarts, pauses, cuts, edits of limit, window and roster, a wrong instance list. */
+    MIXED("mixed") {
+        @Override
+        void plan(LimitFleet fleet) {
+            PAUSES.plan(fleet);
+            RandomGenerator random = fleet.time().random();
+            for (int second = 20; second < RUN_SECONDS; second += 7) {
+                at(fleet, second, () -> mixedFault(fleet, random));
+            }
+        }
+    };
+
+    static final int RUN_SECONDS = 180;
+    static final int WARM_UP_SECONDS = 20;
+
+    private static final double TOTAL_CALLS_PER_SECOND = 750;
+    private static final int MOVE_SECONDS = 40;
+    private static final double LOST = 0.05;
+    private static final double REPEATED = 0.05;
+    private static final long LATE_MILLIS = 15_000;
+
+    private final String key;
+
+    LimitCase(String key) {
+        this.key = key;
+    }
+
+    /** Name in results. */
+    public String key() {
+        return key;
+    }
+
+    abstract void plan(LimitFleet fleet);
+
+    private static void skewed(LimitFleet fleet) {
+        fleet.network().faults(LOST, REPEATED, LATE_MILLIS);
+        List<String> servers = new ArrayList<>(fleet.servers());
+        fleet.demand(servers.get(0), TOTAL_CALLS_PER_SECOND / 2);
+        fleet.demand(servers.get(servers.size() - 1), TOTAL_CALLS_PER_SECOND / 2);
+    }
+
+    private static void mixedFault(LimitFleet fleet, RandomGenerator random) {
+        switch (random.nextInt(8)) {
+            case 0 -> fleet.restart(any(fleet));
+            case 1 -> {
+                List<String> side = new ArrayList<>(fleet.servers());
+                side.removeIf(server -> random.nextBoolean());
+                fleet.cut(side, random.nextInt(1, 3));
+            }
+            case 2, 3 -> fleet.heal();
+            case 4 -> fleet.edit(random.nextInt(1, 2_000), random.nextLong(500, 4_000));
+            case 5 -> fleet.removeFromRoster(any(fleet));
+            case 6 -> fleet.addToRoster(any(fleet), "dc-" + random.nextInt(1, 7));
+            default -> fleet.instanceListWrong(random.nextBoolean());
+        }
+        fleet.demand(any(fleet), random.nextInt(2) * TOTAL_CALLS_PER_SECOND);
+    }
+
+    private static String any(LimitFleet fleet) {
+        List<String> servers = new ArrayList<>(fleet.servers());
+        return servers.get(fleet.time().random().nextInt(servers.size()));
+    }
+
+    private static void at(LimitFleet fleet, int second, Runnable action) {
+        fleet.time().schedule(TimeUnit.SECONDS.toNanos(second), action);
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitFleet.java
@@ -0,0 +1,320 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.cli.virtual.VirtualNetwork;
+import io.jaywick.cli.virtual.VirtualProcess;
+import io.jaywick.cli.virtual.VirtualTime;
+import io.jaywick.core.limits.LimitTiming;
+import io.jaywick.core.limits.LimiterOptions;
+import io.jaywick.core.message.QuotaRequest;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+
+/**
+ * Many limiter cores on virtual time with a fake network, a fake spread of versions and a fake fleet status. Not a
+ * simulator of the cluster: whatever is not a limiter is reduced to what the limiter can observe of it.
+ */
+public final class LimitFleet {
+
+    /** Party of every call. */
+    public static final String PARTY = "party";
+
+    private static final long TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long GOSSIP_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    private static final long REPORT_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long LIVENESS_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final long SECOND_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final LimitFleetOptions options;
+    private final LimitStrategy strategy;
+    private final VirtualTime time;
+    private final VirtualNetwork network;
+    private final FleetTables tables;
+    private final LimitOracle oracle = new LimitOracle();
+    private final Map<String, LimitNode> nodes = new LinkedHashMap<>();
+    private final Map<String, Double> callsPerSecond = new LinkedHashMap<>();
+    private final Set<String> mayRun = new TreeSet<>();
+    private Snapshot published;
+    private long longestWindowMillis;
+    private long asked;
+    private long nextIncarnation;
+    private boolean instanceListWrong;
+    private BiConsumer<String, String> trace = (server, text) -> {};
+
+    public LimitFleet(LimitFleetOptions options, LimitStrategy strategy, VirtualTime time) {
+        this.options = options;
+        this.strategy = strategy;
+        this.time = time;
+        this.network = new VirtualNetwork(time);
+        this.tables = new FleetTables(options);
+        tables.limit(PARTY, options.limitCalls(), options.windowMillis());
+        longestWindowMillis = options.windowMillis();
+        published = tables.publish();
+        oracle.published(options.limitCalls(), options.windowMillis(), time.nowNanos());
+        for (String server : new TreeSet<>(published.servers().keySet())) {
+            start(server, !options.coldStart());
+            nodes.get(server).adopt(published);
+        }
+    }
+
+    public VirtualTime time() {
+        return time;
+    }
+
+    public VirtualNetwork network() {
+        return network;
+    }
+
+    public LimitOracle oracle() {
+        return oracle;
+    }
+
+    /** Receives one line of text per noteworthy event, with the server or an empty name. */
+    public void trace(BiConsumer<String, String> sink) {
+        trace = sink;
+    }
+
+    public Set<String> servers() {
+        return nodes.keySet();
+    }
+
+    /** Servers of a region. */
+    public List<String> serversIn(String region) {
+        return published.servers().values().stream()
+                .filter(server -> server.dataCentre().region().equals(region))
+                .map(Server::name)
+                .sorted()
+                .toList();
+    }
+
+    /** Calls that callers sent so far. */
+    public long asked() {
+        return asked;
+    }
+
+    /** Sets the rate of calls at a server's egress; zero stops them. */
+    public void demand(String server, double rate) {
+        boolean idle = callsPerSecond.getOrDefault(server, 0.0) == 0;
+        callsPerSecond.put(server, rate);
+        if (idle && rate > 0) {
+            scheduleCall(server);
+        }
+    }
+
+    /** Stops all calls. */
+    public void noDemand() {
+        callsPerSecond.replaceAll((server, rate) -> 0.0);
+    }
+
+    /** Ends the process of a server. */
+    public void kill(String server) {
+        nodes.get(server).process().kill();
+        trace.accept(server, "killed");
+    }
+
+    /** Starts a new process under the name of a server, ending the one that runs. */
+    public void restart(String server) {
+        nodes.get(server).process().kill();
+        start(server, false);
+        trace.accept(server, "restarted");
+    }
+
+    public void pause(String server, long millis) {
+        nodes.get(server).process().pause(TimeUnit.MILLISECONDS.toNanos(millis));
+        trace.accept(server, "paused for " + millis + " ms");
+    }
+
+    /** Stops a process within one of its next actions, between two readings of its clock. */
+    public void stall(String server, int reads, long millis) {
+        nodes.get(server).process().stallAfterReads(reads, TimeUnit.MILLISECONDS.toNanos(millis));
+        trace.accept(server, "stalls for " + millis + " ms after " + reads + " clock readings");
+    }
+
+    /** Puts servers on one side of a partition. */
+    public void cut(List<String> servers, int side) {
+        servers.forEach(server -> network.side(server, side));
+        trace.accept("", "side " + side + " of the partition holds " + servers);
+    }
+
+    public void heal() {
+        network.heal();
+        trace.accept("", "partition healed");
+    }
+
+    /** A wrong instance list names servers that are gone under the addresses of others. */
+    public void instanceListWrong(boolean wrong) {
+        instanceListWrong = wrong;
+        trace.accept("", wrong ? "instance list is wrong" : "instance list is right");
+    }
+
+    /** Publishes a limit. */
+    public void edit(int limitCalls, long windowMillis) {
+        tables.limit(PARTY, limitCalls, windowMillis);
+        longestWindowMillis = Math.max(longestWindowMillis, windowMillis);
+        oracle.published(limitCalls, windowMillis, time.nowNanos());
+        publish("limit " + limitCalls + " in " + windowMillis + " ms");
+        awaitSettled(published.revision());
+    }
+
+    /** Removes a server from the roster; its process runs on until it is killed. */
+    public void removeFromRoster(String server) {
+        tables.remove(server);
+        publish("roster without " + server);
+    }
+
+    /** Adds a server to the roster and starts its process. */
+    public void addToRoster(String server, String dataCentre) {
+        tables.add(server, tables.dataCentre(dataCentre));
+        publish("roster with " + server);
+        if (!nodes.containsKey(server) || !nodes.get(server).process().isAlive()) {
+            start(server, false);
+        }
+    }
+
+    private void publish(String what) {
+        published = tables.publish();
+        trace.accept("", "published revision " + published.revision() + ": " + what);
+    }
+
+    private void start(String server, boolean first) {
+        mayRun.add(server);
+        RandomGenerator random = time.random();
+        double clockError = (2 * random.nextDouble() - 1) * options.clockErrorPpm();
+        VirtualProcess process = new VirtualProcess(server, time, clockError);
+        LimitNode node = new LimitNode(process, ++nextIncarnation);
+        nodes.put(server, node);
+        Server place = published.servers().get(server);
+        String region = place == null ? "" : place.dataCentre().region();
+        LimitStrategy.Environment environment = new LimitStrategy.Environment(
+                new LimiterOptions(server, node.incarnation(), options.holdersPerParty(), options.grantMillis(), first),
+                network.connect(
+                        process,
+                        region,
+                        message -> CompletableFuture.completedFuture(node.core().handle((QuotaRequest) message))),
+                () -> liveMembers(node),
+                this::address,
+                (oldest, newest) -> allWithin(node, oldest, newest),
+                process,
+                random);
+        node.core(strategy.create(environment));
+        process.every(TICK_NANOS, () -> node.core().tick());
+        process.every(GOSSIP_NANOS, () -> gossip(node));
+        process.every(REPORT_NANOS, () -> report(node));
+    }
+
+    private void gossip(LimitNode node) {
+        List<String> names = new ArrayList<>(nodes.keySet());
+        String peer = names.get(time.random().nextInt(names.size()));
+        LimitNode other = nodes.get(peer);
+        boolean nearSource = network.reaches(node.process().name(), names.get(0));
+        if (other.process().isAlive()
+                && !other.process().isPaused()
+                && other.snapshot() != null
+                && network.reaches(node.process().name(), peer)) {
+            adopt(node, other.snapshot());
+        } else if (nearSource && time.random().nextInt(4) == 0) {
+            adopt(node, published);
+        }
+        if (peer.equals(names.get(0)) && nearSource) {
+            adopt(node, published);
+        }
+    }
+
+    private void adopt(LimitNode node, Snapshot candidate) {
+        if (candidate.revision() > node.revision()) {
+            node.adopt(candidate);
+            trace.accept(node.process().name(), "adopted revision " + candidate.revision());
+        }
+    }
+
+    private void report(LimitNode node) {
+        String name = node.process().name();
+        for (LimitNode other : nodes.values()) {
+            if (other.process().isAlive()
+                    && network.reaches(name, other.process().name())) {
+                other.heard(name, node.revision(), time.nowNanos());
+            }
+        }
+    }
+
+    private boolean allWithin(LimitNode node, long oldest, long newest) {
+        for (String server : mayRun) {
+            Long revision = node.reportedRevisions().get(server);
+            if (revision == null || revision < oldest || revision > newest) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private List<String> liveMembers(LimitNode node) {
+        long since = time.nowNanos() - LIVENESS_NANOS;
+        List<String> live = new ArrayList<>();
+        for (String server : nodes.keySet()) {
+            if (server.equals(node.process().name()) || node.believesAlive(server, since)) {
+                live.add(server);
+            }
+        }
+        return live;
+    }
+
+    private String address(String server) {
+        if (!instanceListWrong) {
+            return server;
+        }
+        List<String> names = new ArrayList<>(nodes.keySet());
+        int index = names.indexOf(server);
+        return index % 3 == 0 ? null : index % 3 == 1 ? names.get((index + 1) % names.size()) : server;
+    }
+
+    private void scheduleCall(String server) {
+        double rate = callsPerSecond.getOrDefault(server, 0.0);
+        if (rate <= 0) {
+            return;
+        }
+        long gapNanos = (long) (-Math.log(1 - time.random().nextDouble()) / rate * SECOND_NANOS);
+        time.schedule(gapNanos, () -> {
+            LimitNode node = nodes.get(server);
+            node.process().execute(() -> call(node));
+            scheduleCall(server);
+        });
+    }
+
+    private void call(LimitNode node) {
+        asked++;
+        if (node.snapshot() != null
+                && node.core().tryAcquire(node.snapshot().parties().get(PARTY))) {
+            oracle.admitted(node.process().trueNanos());
+        }
+    }
+
+    private void awaitSettled(long revision) {
+        if (published.revision() > revision) {
+            return;
+        }
+        for (LimitNode node : nodes.values()) {
+            if (node.process().isAlive() && node.snapshot() != null && node.revision() < revision) {
+                time.schedule(TICK_NANOS, () -> awaitSettled(revision));
+                return;
+            }
+        }
+        long graceNanos = LimitTiming.stretch(TimeUnit.MILLISECONDS.toNanos(options.grantMillis()))
+                + 2 * LimitTiming.windowNanos(longestWindowMillis);
+        time.schedule(graceNanos, () -> {
+            if (published.revision() == revision) {
+                oracle.settled(time.nowNanos());
+                trace.accept("", "revision " + revision + " settled");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitNode.java
@@ -0,0 +1,72 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.jaywick.cli.virtual.VirtualProcess;
+import io.jaywick.core.snapshot.Snapshot;
+
+/** One process of the fleet with its limiter and what it heard from others. */
+final class LimitNode {
+
+    private final VirtualProcess process;
+    private final long incarnation;
+    private final Map<String, Long> reportedRevisions = new HashMap<>();
+    private final Map<String, Long> heardNanos = new HashMap<>();
+    private LimiterCore core;
+    private Snapshot snapshot;
+
+    LimitNode(VirtualProcess process, long incarnation) {
+        this.process = process;
+        this.incarnation = incarnation;
+    }
+
+    VirtualProcess process() {
+        return process;
+    }
+
+    long incarnation() {
+        return incarnation;
+    }
+
+    LimiterCore core() {
+        return core;
+    }
+
+    void core(LimiterCore newCore) {
+        core = newCore;
+    }
+
+    Snapshot snapshot() {
+        return snapshot;
+    }
+
+    long revision() {
+        return snapshot == null ? 0 : snapshot.revision();
+    }
+
+    /** Takes a newer version into force. */
+    void adopt(Snapshot candidate) {
+        if (candidate.revision() > revision()) {
+            snapshot = candidate;
+            core.onSnapshot(candidate);
+        }
+    }
+
+    /** Another server said which revision it has in force. */
+    void heard(String server, long revision, long trueNanos) {
+        heardNanos.put(server, trueNanos);
+        if (revision > 0) {
+            reportedRevisions.put(server, revision);
+        }
+    }
+
+    Map<String, Long> reportedRevisions() {
+        return reportedRevisions;
+    }
+
+    boolean believesAlive(String server, long sinceNanos) {
+        Long heard = heardNanos.get(server);
+        return heard != null && heard >= sinceNanos;
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitOracle.java
@@ -0,0 +1,114 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Judges a run by the true times of the admitted calls of one party. While an edit spreads, a window of the shorter
+ * length may hold the larger of the limits; a window that begins after the edit has settled must keep the new limit.
+ */
+public final class LimitOracle {
+
+    private final List<Era> eras = new ArrayList<>();
+    private long[] admitted = new long[1 << 12];
+    private int calls;
+
+    /** Records an admitted call. */
+    public void admitted(long trueNanos) {
+        if (calls == admitted.length) {
+            admitted = Arrays.copyOf(admitted, 2 * calls);
+        }
+        admitted[calls++] = trueNanos;
+    }
+
+    /** A limit was published. */
+    public void published(int limitCalls, long windowMillis, long trueNanos) {
+        eras.add(new Era(limitCalls, TimeUnit.MILLISECONDS.toNanos(windowMillis), trueNanos));
+        if (eras.size() == 1) {
+            settled(Long.MIN_VALUE);
+        }
+    }
+
+    /** Every server has left the limits before the newest one, and the grants made under them are over. */
+    public void settled(long trueNanos) {
+        eras.get(eras.size() - 1).settledNanos = trueNanos;
+    }
+
+    /** Calls admitted after one instant and until another. */
+    public long calls(long afterNanos, long untilNanos) {
+        long count = 0;
+        for (int i = 0; i < calls; i++) {
+            if (admitted[i] > afterNanos && admitted[i] <= untilNanos) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** The window that exceeds its limit the most; {@code overCalls} is zero or less when none does. */
+    public Excess worst() {
+        long[] times = Arrays.copyOf(admitted, calls);
+        Arrays.sort(times);
+        Excess worst = new Excess(Integer.MIN_VALUE, 0, 0, 0);
+        int[] starts = new int[eras.size()];
+        for (int end = 0; end < times.length; end++) {
+            long windowNanos = Long.MAX_VALUE;
+            int limit = 0;
+            int newest = newestAt(times[end]);
+            int shortest = newest;
+            for (int i = newest; i >= 0; i--) {
+                Era era = eras.get(i);
+                limit = Math.max(limit, era.limitCalls);
+                if (era.windowNanos < windowNanos) {
+                    windowNanos = era.windowNanos;
+                    shortest = i;
+                }
+                if (times[end] - era.windowNanos >= era.settledNanos) {
+                    break;
+                }
+            }
+            // Windows of one length move forward only, so each length keeps its own start.
+            while (times[starts[shortest]] <= times[end] - windowNanos) {
+                starts[shortest]++;
+            }
+            int inWindow = end - starts[shortest] + 1;
+            if (inWindow - limit > worst.overCalls) {
+                worst = new Excess(inWindow - limit, inWindow, limit, times[end]);
+            }
+        }
+        return worst;
+    }
+
+    private int newestAt(long trueNanos) {
+        int newest = 0;
+        for (int i = 1; i < eras.size(); i++) {
+            if (eras.get(i).publishedNanos <= trueNanos) {
+                newest = i;
+            }
+        }
+        return newest;
+    }
+
+    /**
+     * A window with more calls than its limit.
+     *
+     * @param endNanos true time of the last call of the window
+     */
+    public record Excess(int overCalls, int calls, int limitCalls, long endNanos) {}
+
+    private static final class Era {
+
+        private final int limitCalls;
+        private final long windowNanos;
+        private final long publishedNanos;
+        private long settledNanos = Long.MAX_VALUE;
+
+        private Era(int limitCalls, long windowNanos, long publishedNanos) {
+            this.limitCalls = limitCalls;
+            this.windowNanos = windowNanos;
+            this.publishedNanos = publishedNanos;
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitStrategy.java
@@ -0,0 +1,72 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.limits.FleetRevisions;
+import io.jaywick.core.limits.LimiterOptions;
+import io.jaywick.core.limits.PartyLimiter;
+import io.jaywick.core.message.PeerLink;
+
+/** Ways to enforce party limits that the bench compares. */
+public enum LimitStrategy {
+    /** Every server of the roster may use an equal share; no messages. */
+    FIXED("fixed") {
+        @Override
+        LimiterCore create(Environment environment) {
+            return new FixedShareCore(environment.options.server(), environment.clock);
+        }
+    },
+    /** The first live member by rendezvous hash leases calls to the others. */
+    OWNER("owner") {
+        @Override
+        LimiterCore create(Environment environment) {
+            return new OwnerLeaseCore(environment);
+        }
+    },
+    /** Holders of base shares lend quota for a period. */
+    ESCROW("escrow") {
+        @Override
+        LimiterCore create(Environment environment) {
+            return new EscrowCore(new PartyLimiter(
+                    environment.options,
+                    environment.link,
+                    server -> Optional.ofNullable(environment.addresses.apply(server)),
+                    environment.revisions,
+                    environment.clock,
+                    environment.random));
+        }
+    };
+
+    private final String key;
+
+    LimitStrategy(String key) {
+        this.key = key;
+    }
+
+    /** Name in results and scenario files. */
+    public String key() {
+        return key;
+    }
+
+    abstract LimiterCore create(Environment environment);
+
+    /**
+     * What a limiter core gets from its node.
+     *
+     * @param liveMembers servers that the node believes alive, itself included
+     * @param addresses peer address of a server, or null
+     */
+    record Environment(
+            LimiterOptions options,
+            PeerLink link,
+            Supplier<List<String>> liveMembers,
+            UnaryOperator<String> addresses,
+            FleetRevisions revisions,
+            LongSupplier clock,
+            RandomGenerator random) {}
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/OwnerLeaseCore.java
@@ -0,0 +1,146 @@
+package io.jaywick.cli.bench.limits;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.limits.LimitTiming;
+import io.jaywick.core.limits.Roster;
+import io.jaywick.core.limits.WindowCounter;
+import io.jaywick.core.message.QuotaGrant;
+import io.jaywick.core.message.QuotaRequest;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Snapshot;
+
+/**
+ * Takes calls in small batches from an owner, the first live member by rendezvous hash. The owner counts what it gave
+ * away in the last window. Members that see different members alive choose different owners, and an owner that
+ * restarts forgets what it gave away.
+ */
+final class OwnerLeaseCore implements LimiterCore {
+
+    private static final int BUCKETS = 128;
+
+    /** A batch is valid for this part of the window, and its calls are counted by the owner until that has passed. */
+    private static final int LEASE_PARTS = 4;
+
+    private static final long TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
+    private final LimitStrategy.Environment environment;
+    private final Map<String, State> states = new HashMap<>();
+    private long nextRequestId;
+    private Snapshot snapshot;
+
+    OwnerLeaseCore(LimitStrategy.Environment environment) {
+        this.environment = environment;
+    }
+
+    @Override
+    public boolean tryAcquire(Party party) {
+        if (snapshot == null) {
+            return false;
+        }
+        Party known = snapshot.parties().get(party.name());
+        State state = state(known);
+        long nowNanos = environment.clock().getAsLong();
+        state.asked++;
+        if (nowNanos >= state.leaseEndNanos) {
+            state.tokens = 0;
+        }
+        if (state.tokens == 0) {
+            return false;
+        }
+        state.tokens--;
+        return true;
+    }
+
+    @Override
+    public void onSnapshot(Snapshot adopted) {
+        snapshot = adopted;
+    }
+
+    @Override
+    public QuotaGrant handle(QuotaRequest request) {
+        Party party = snapshot == null ? null : snapshot.parties().get(request.party());
+        int calls = party == null ? 0 : give(party, request.wantCalls());
+        return new QuotaGrant(
+                environment.options().server(), 0, request.requestId(), request.party(), calls, 0, calls, 0);
+    }
+
+    @Override
+    public void tick() {
+        if (snapshot == null) {
+            return;
+        }
+        for (Map.Entry<String, State> entry : states.entrySet()) {
+            Party party = snapshot.parties().get(entry.getKey());
+            State state = entry.getValue();
+            long nowNanos = environment.clock().getAsLong();
+            int want = 2 * state.asked - state.tokens;
+            if (state.asked == 0 || want <= 0 || nowNanos - state.sentNanos < TIMEOUT_NANOS && state.pending) {
+                state.asked = 0;
+                continue;
+            }
+            state.asked = 0;
+            ask(party, state, Math.min(want, party.limitCalls()), nowNanos);
+        }
+    }
+
+    private void ask(Party party, State state, int want, long nowNanos) {
+        String owner = new Roster(environment.liveMembers().get())
+                .holders(party.name(), 1)
+                .get(0);
+        state.sentNanos = nowNanos;
+        if (owner.equals(environment.options().server())) {
+            credit(party, state, give(party, want), nowNanos);
+            return;
+        }
+        state.pending = true;
+        long requestId = nextRequestId++;
+        QuotaRequest request = new QuotaRequest(
+                environment.options().server(), 0, requestId, party.name(), snapshot.revision(), want, 0, 0);
+        environment.link().request(owner, request).whenComplete((reply, failure) -> {
+            state.pending = false;
+            if (reply instanceof QuotaGrant grant) {
+                credit(party, state, grant.calls(), nowNanos);
+            }
+        });
+    }
+
+    private void credit(Party party, State state, int calls, long sentNanos) {
+        long endNanos = sentNanos + TimeUnit.MILLISECONDS.toNanos(party.windowMillis()) / LEASE_PARTS;
+        if (environment.clock().getAsLong() < endNanos) {
+            state.tokens += calls;
+            state.leaseEndNanos = endNanos;
+        }
+    }
+
+    private int give(Party party, int want) {
+        State state = state(party);
+        long nowNanos = environment.clock().getAsLong();
+        int calls = (int) Math.max(0, Math.min(want, party.limitCalls() - state.given.count(nowNanos)));
+        for (int i = 0; i < calls; i++) {
+            state.given.add(nowNanos);
+        }
+        return calls;
+    }
+
+    private State state(Party party) {
+        return states.computeIfAbsent(party.name(), name -> new State(party.windowMillis()));
+    }
+
+    private static final class State {
+
+        private final WindowCounter given;
+        private int tokens;
+        private int asked;
+        private boolean pending;
+        private long sentNanos;
+        private long leaseEndNanos;
+
+        private State(long windowMillis) {
+            long windowNanos = LimitTiming.windowNanos(windowMillis);
+            given = new WindowCounter(windowNanos + windowNanos / LEASE_PARTS, BUCKETS);
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/virtual/VirtualNetwork.java
@@ -0,0 +1,139 @@
+package io.jaywick.cli.virtual;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.ToLongFunction;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.MessageHandler;
+import io.jaywick.core.message.PeerLink;
+
+/**
+ * Carries requests and replies between processes with delay, loss, duplication and cuts. A message that is lost or
+ * cut is either reported as a failed connection or never answered, with equal chance. The peer address of a process
+ * is its name.
+ */
+public final class VirtualNetwork {
+
+    private static final long LOCAL_DELAY_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
+
+    private final VirtualTime time;
+    private final Map<String, Endpoint> endpoints = new HashMap<>();
+    private final Map<String, Integer> sides = new HashMap<>();
+    private final Map<String, String> regions = new HashMap<>();
+    private ToLongFunction<Message> sizeOf = message -> 0;
+    private double lossShare;
+    private double duplicateShare;
+    private long crossRegionNanos = TimeUnit.MILLISECONDS.toNanos(12);
+    private long jitterNanos = TimeUnit.MILLISECONDS.toNanos(3);
+    private long lateNanos;
+    private long messages;
+    private long bytes;
+
+    public VirtualNetwork(VirtualTime time) {
+        this.time = time;
+    }
+
+    /** Connects a process; the latest one under a name receives the messages. */
+    public PeerLink connect(VirtualProcess process, String region, MessageHandler handler) {
+        endpoints.put(process.name(), new Endpoint(process, handler));
+        regions.put(process.name(), region);
+        return (address, message) -> request(process, address, message);
+    }
+
+    /** Share of messages lost and delivered twice; a duplicate is late by up to {@code lateMillis}. */
+    public void faults(double lost, double duplicated, long lateMillis) {
+        this.lossShare = lost;
+        this.duplicateShare = duplicated;
+        this.lateNanos = TimeUnit.MILLISECONDS.toNanos(lateMillis);
+    }
+
+    /** Puts a server on a side; servers on different sides do not reach each other. Side 0 is the default. */
+    public void side(String server, int side) {
+        sides.put(server, side);
+    }
+
+    /** Removes all cuts. */
+    public void heal() {
+        sides.clear();
+    }
+
+    public boolean reaches(String from, String to) {
+        return sides.getOrDefault(from, 0).equals(sides.getOrDefault(to, 0));
+    }
+
+    /** Counts the bytes of messages by this size from now on. */
+    public void measure(ToLongFunction<Message> size) {
+        sizeOf = size;
+        messages = 0;
+        bytes = 0;
+    }
+
+    public long messages() {
+        return messages;
+    }
+
+    public long bytes() {
+        return bytes;
+    }
+
+    private CompletableFuture<Message> request(VirtualProcess from, String address, Message message) {
+        CompletableFuture<Message> future = new CompletableFuture<>();
+        transfer(from, address, message, () -> deliver(from, address, message, future), future);
+        return future;
+    }
+
+    private void deliver(VirtualProcess from, String address, Message message, CompletableFuture<Message> future) {
+        Endpoint endpoint = endpoints.get(address);
+        if (endpoint == null || !endpoint.process.isAlive()) {
+            fail(from, address, future);
+            return;
+        }
+        endpoint.process.execute(() -> endpoint.handler.handle(message).whenComplete((reply, failure) -> {
+            if (failure == null) {
+                Runnable arrival = () -> from.execute(() -> future.complete(reply));
+                transfer(endpoint.process, from.name(), reply, arrival, null);
+            }
+        }));
+    }
+
+    private void transfer(
+            VirtualProcess from, String to, Message message, Runnable arrival, CompletableFuture<Message> future) {
+        RandomGenerator random = time.random();
+        messages++;
+        bytes += sizeOf.applyAsLong(message);
+        if (!reaches(from.name(), to) || random.nextDouble() < lossShare) {
+            if (future != null && random.nextBoolean()) {
+                fail(from, to, future);
+            }
+            return;
+        }
+        // A process that stalls while it sends hands the message over when it continues.
+        long stalled = from.trueNanos() - time.nowNanos();
+        time.schedule(stalled + delayNanos(from.name(), to), arrival);
+        if (random.nextDouble() < duplicateShare) {
+            time.schedule(stalled + delayNanos(from.name(), to) + random.nextLong(lateNanos + 1), arrival);
+        }
+    }
+
+    private void fail(VirtualProcess from, String to, CompletableFuture<Message> future) {
+        time.schedule(
+                delayNanos(from.name(), to),
+                () -> from.execute(() -> future.completeExceptionally(new UnreachableException(to))));
+    }
+
+    private long delayNanos(String from, String to) {
+        boolean sameRegion = regions.getOrDefault(from, "").equals(regions.getOrDefault(to, ""));
+        long base = sameRegion ? LOCAL_DELAY_NANOS : crossRegionNanos;
+        long delay = base + time.random().nextLong(jitterNanos + 1);
+        // One message in a hundred of a faulty network is late, so that messages overtake each other.
+        return lateNanos > 0 && time.random().nextInt(100) == 0
+                ? delay + time.random().nextLong(lateNanos + 1)
+                : delay;
+    }
+
+    private record Endpoint(VirtualProcess process, MessageHandler handler) {}
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
@@ -88,7 +88,7 @@
             if (lines.size() >= MAX_LINES) {
                 return Decision.NONE;
             }
-            line = new Line(request.incarnation());
+            line = new Line(request.incarnation(), nowNanos + LimitTiming.stretch(periodNanos));
             lines.put(request.from(), line);
         }
         int committed = line.granted + takeReclaimed(line, nowNanos);
@@ -256,12 +256,13 @@
         private int wanted;
         private int reclaimed;
         private long reclaimedEndNanos;
-        private long endNanos = Long.MIN_VALUE;
+        private long endNanos;
         private long requestId = Long.MIN_VALUE;
         private Decision decision = Decision.NONE;
 
-        private Line(long incarnation) {
+        private Line(long incarnation, long endNanos) {
             this.incarnation = incarnation;
+            this.endNanos = endNanos;
         }
     }
 
