--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -1,8 +1,10 @@
 package io.jaywick.cli;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.limits.BenchLimitsCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
@@ -22,6 +24,11 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand());
+        List<Command> commands = new ArrayList<>();
+        commands.add(new BenchLimitsCommand());
+        commands.add(new CheckCommand());
+        commands.add(new GenerateCommand());
+        commands.add(new PackCommand());
+        return commands;
     }
 }
