Report usage from record lines and verify it against simulated fleets

Cause: the lines of the nodes need a reader that settles a month, states what may be missing and works in bounded memory.

Change: the command report streams files into RecordFold, moves merged processes to temporary files when it holds too many, and writes text, CSV, JSON or one HTML page. A simulated fleet with kills, pauses, restarts, twin processes and lost, repeated, reordered and damaged lines keeps the truth apart from the record.

Fault found by the simulation: UsageCounters.add wrote to the array from before it grew; UsageCountersTestCase covers it.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -3,6 +3,8 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.jaywick.cli.report.ReportCommand;
+
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
 
@@ -18,6 +20,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of();
+        return List.of(new ReportCommand());
     }
 }
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/FleetSimulation.java
@@ -0,0 +1,150 @@
+package io.jaywick.cli.bench.record;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import io.jaywick.core.record.PeerHead;
+import io.jaywick.core.record.RecorderIdentity;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.table.TableContent;
+
+/** A fleet whose processes are killed, restarted and paused while they write the usage record. */
+public final class FleetSimulation {
+
+    private static final int NEIGHBOURS = 8;
+    private static final int MOST_PAUSED_INTERVALS = 12;
+    private static final int MOST_DOWN_INTERVALS = 4;
+    private static final long PROCESS_SPREAD_MILLIS = 1_000;
+
+    private record Running(int server, SimulatedProcess process) {}
+
+    private final FleetShape shape;
+    private final FaultRates faults;
+    private final RandomGenerator random;
+    private final SimulationClock clock;
+    private final FleetOutput output;
+    private final List<Running> running = new ArrayList<>();
+    private final Map<Integer, Integer> downIntervals = new HashMap<>();
+    private Snapshot snapshot;
+
+    /** @param startMillis wall clock at the start */
+    public FleetSimulation(FleetShape shape, FaultRates faults, long seed, long startMillis, FleetOutput output) {
+        this.shape = shape;
+        this.faults = faults;
+        this.random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        this.clock = new SimulationClock(startMillis);
+        this.output = output;
+        setShares(1, 0);
+        for (int server = 0; server < shape.servers(); server++) {
+            start(server);
+        }
+    }
+
+    /** Publishes a table whose first party has its agreed share raised by some points, taken from the second. */
+    public void setShares(long revision, int points) {
+        Map<String, Party> parties = new TreeMap<>();
+        for (int i = 0; i < shape.parties(); i++) {
+            int share = 100 / shape.parties() + (i == 0 ? points : i == 1 ? -points : 0);
+            Set<String> home = RandomCalls.isRegionBound(i) ? Set.of(shape.regionOf(0)) : Set.of();
+            parties.put("party-" + i, new Party("party-" + i, 1_000, 1_000, share, home, 1));
+        }
+        snapshot = new Snapshot(revision, new TableContent(Map.of()), Map.of(), Map.of(), Map.of(), List.of(), parties);
+        running.forEach(each -> each.process().onSnapshot(snapshot));
+    }
+
+    /** Moves the fleet on by one interval. */
+    public void runInterval() {
+        clock.advance(shape.intervalMillis());
+        for (Running each : List.copyOf(running)) {
+            int calls = random.nextInt(2 * shape.callsPerInterval() + 1);
+            if (random.nextDouble() < faults.kill()) {
+                each.process().runInterval(random.nextInt(calls + 1));
+                kill(each);
+            } else if (each.process().runInterval(calls)) {
+                each.process().writeLine();
+                changeLife(each);
+            }
+        }
+        restart();
+    }
+
+    /** Kills every process of a data centre in the middle of an interval; they return a few intervals later. */
+    public void killDataCentre(String dataCentre) {
+        for (Running each : List.copyOf(running)) {
+            if (shape.dataCentreOf(each.server()).equals(dataCentre)) {
+                each.process().runInterval(random.nextInt(shape.callsPerInterval() + 1));
+                kill(each);
+            }
+        }
+    }
+
+    /** Moves the clock while nothing runs. */
+    public void skip(long millis) {
+        clock.advance(millis);
+    }
+
+    /** Ends all processes gracefully. */
+    public void end() {
+        running.forEach(each -> each.process().endGracefully());
+        running.clear();
+    }
+
+    private void changeLife(Running each) {
+        if (random.nextDouble() < faults.restart()) {
+            each.process().endGracefully();
+            kill(each);
+        } else if (random.nextDouble() < faults.pause()) {
+            each.process().pause(1 + random.nextInt(MOST_PAUSED_INTERVALS));
+        } else if (random.nextDouble() < faults.twin()) {
+            start(each.server());
+        }
+    }
+
+    private void kill(Running each) {
+        running.remove(each);
+        downIntervals.put(each.server(), 1 + random.nextInt(MOST_DOWN_INTERVALS));
+    }
+
+    private void restart() {
+        for (int server : List.copyOf(downIntervals.keySet())) {
+            if (downIntervals.merge(server, -1, Integer::sum) <= 0) {
+                downIntervals.remove(server);
+                start(server);
+            }
+        }
+    }
+
+    private void start(int server) {
+        long startMillis = clock.millis() - random.nextLong(PROCESS_SPREAD_MILLIS);
+        RecorderIdentity identity = new RecorderIdentity(
+                shape.serverName(server),
+                shape.dataCentreOf(server),
+                shape.regionOf(server),
+                startMillis,
+                random.nextLong());
+        SimulatedProcess process = new SimulatedProcess(
+                identity, clock, output, new RandomCalls(shape, server, random), random, () -> neighbourHeads(server));
+        process.onSnapshot(snapshot);
+        process.writeLine();
+        running.add(new Running(server, process));
+    }
+
+    /** Heads as heard from the neighbours, with the newest process of each server last. */
+    private List<PeerHead> neighbourHeads(int server) {
+        List<PeerHead> heads = new ArrayList<>();
+        for (Running each : running) {
+            int distance = Math.floorMod(each.server() - server, shape.servers());
+            if (distance > 0 && distance <= NEIGHBOURS) {
+                heads.add(each.process().head());
+            }
+        }
+        return heads;
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/SimulatedProcess.java
@@ -0,0 +1,121 @@
+package io.jaywick.cli.bench.record;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.record.CallUsage;
+import io.jaywick.core.record.DispatchUsage;
+import io.jaywick.core.record.PeerHead;
+import io.jaywick.core.record.RecorderIdentity;
+import io.jaywick.core.record.RecorderLimits;
+import io.jaywick.core.record.UsageRecorder;
+import io.jaywick.core.snapshot.Snapshot;
+
+/** One process of a simulated fleet: makes random calls, tells the truth and the observers, and writes its lines. */
+final class SimulatedProcess {
+
+    private static final long LARGEST_CLAIM = 10_000;
+    private static final int MOST_IN_FLIGHT = 8;
+
+    private final UsageRecorder recorder;
+    private final NaiveRecorder naive;
+    private final UsageTruth truth;
+    private final RecorderIdentity process;
+    private final RandomCalls calls;
+    private final RandomGenerator random;
+    private final Deque<CallUsage> callsInFlight = new ArrayDeque<>();
+    private final Deque<DispatchUsage> dispatchesInFlight = new ArrayDeque<>();
+    private boolean claimsWanted;
+    private int pausedIntervals;
+
+    SimulatedProcess(
+            RecorderIdentity identity,
+            SimulationClock clock,
+            FleetOutput output,
+            RandomCalls calls,
+            RandomGenerator random,
+            Supplier<? extends Collection<PeerHead>> peers) {
+        this.recorder = new UsageRecorder(
+                identity,
+                clock,
+                output.lines(),
+                RecorderLimits.forLargestClaim(LARGEST_CLAIM),
+                () -> claimsWanted = true,
+                peers);
+        this.naive = new NaiveRecorder(identity, output.naiveLines());
+        this.truth = output.truth();
+        this.process = identity;
+        this.calls = calls;
+        this.random = random;
+    }
+
+    void onSnapshot(Snapshot snapshot) {
+        recorder.onSnapshot(snapshot);
+    }
+
+    PeerHead head() {
+        return recorder.head();
+    }
+
+    /** Takes part in one interval; a paused process does nothing. */
+    boolean runInterval(int callCount) {
+        if (pausedIntervals > 0) {
+            pausedIntervals--;
+            return false;
+        }
+        runCalls(callCount);
+        return true;
+    }
+
+    void runCalls(int callCount) {
+        for (int i = 0; i < callCount; i++) {
+            CallUsage call = calls.nextCall();
+            recorder.callStarted();
+            truth.callStarted(process, call);
+            callsInFlight.add(call);
+            if (random.nextBoolean()) {
+                DispatchUsage dispatch = calls.nextDispatch();
+                recorder.dispatchStarted();
+                truth.dispatchStarted(process, dispatch);
+                dispatchesInFlight.add(dispatch);
+            }
+            endSome(random.nextInt(MOST_IN_FLIGHT));
+            if (claimsWanted) {
+                claimsWanted = false;
+                recorder.writeClaims();
+            }
+        }
+    }
+
+    void writeLine() {
+        recorder.writeCounters();
+        naive.writeCounters();
+    }
+
+    void pause(int intervals) {
+        pausedIntervals = intervals;
+    }
+
+    void endGracefully() {
+        endSome(0);
+        recorder.close();
+        naive.writeCounters();
+    }
+
+    private void endSome(int stayInFlight) {
+        while (callsInFlight.size() > stayInFlight) {
+            CallUsage call = callsInFlight.poll();
+            truth.callEnded(call);
+            recorder.callEnded(call);
+            naive.callEnded(call);
+        }
+        while (dispatchesInFlight.size() > stayInFlight) {
+            DispatchUsage dispatch = dispatchesInFlight.poll();
+            truth.dispatchEnded(dispatch);
+            recorder.dispatchEnded(dispatch);
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/UsageTruth.java
@@ -0,0 +1,96 @@
+package io.jaywick.cli.bench.record;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import io.jaywick.core.record.CallUsage;
+import io.jaywick.core.record.DispatchUsage;
+import io.jaywick.core.record.RecorderIdentity;
+import io.jaywick.core.record.UsageKey;
+
+/** What really happened in a simulated fleet, kept apart from the record. Parties are named as the record may. */
+public final class UsageTruth {
+
+    /** Figures of one party. */
+    public static final class PartyTruth {
+        long startedCalls;
+        long endedCalls;
+        long startedDispatches;
+        long endedDispatches;
+        long slotMicros;
+        long bytes;
+
+        public long startedCalls() {
+            return startedCalls;
+        }
+
+        public long endedCalls() {
+            return endedCalls;
+        }
+
+        public long startedDispatches() {
+            return startedDispatches;
+        }
+
+        public long endedDispatches() {
+            return endedDispatches;
+        }
+
+        public long slotMicros() {
+            return slotMicros;
+        }
+
+        /** Bytes of requests, responses and regional links. */
+        public long bytes() {
+            return bytes;
+        }
+    }
+
+    private final Map<String, PartyTruth> parties = new HashMap<>();
+    private final Map<String, PartyTruth> processes = new HashMap<>();
+
+    /** Truth by party, or by label in parentheses where the record may not name the party. */
+    public Map<String, PartyTruth> parties() {
+        return parties;
+    }
+
+    /** Starts by process as {@code SERVER INCARNATION}. */
+    public Map<String, PartyTruth> processes() {
+        return processes;
+    }
+
+    void callStarted(RecorderIdentity process, CallUsage usage) {
+        of(usage).startedCalls++;
+        of(process).startedCalls++;
+    }
+
+    void callEnded(CallUsage usage) {
+        PartyTruth truth = of(usage);
+        truth.endedCalls++;
+        truth.bytes += usage.requestBytes() + usage.responseBytes() + usage.linkBytes();
+    }
+
+    void dispatchStarted(RecorderIdentity process, DispatchUsage usage) {
+        of(usage.party()).startedDispatches++;
+        of(process).startedDispatches++;
+    }
+
+    void dispatchEnded(DispatchUsage usage) {
+        PartyTruth truth = of(usage.party());
+        truth.endedDispatches++;
+        truth.slotMicros += usage.slotMicros();
+    }
+
+    private PartyTruth of(CallUsage usage) {
+        boolean unnamed = usage.regionBound() && !usage.homeRegion();
+        return of(unnamed ? "(" + UsageKey.REGION_BOUND + ")" : usage.party());
+    }
+
+    private PartyTruth of(RecorderIdentity process) {
+        return processes.computeIfAbsent(process.server() + " " + process.incarnation(), ignored -> new PartyTruth());
+    }
+
+    private PartyTruth of(String party) {
+        return parties.computeIfAbsent(party, ignored -> new PartyTruth());
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/RecordReader.java
@@ -0,0 +1,88 @@
+package io.jaywick.cli.report;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.jaywick.core.record.ProcessGap;
+import io.jaywick.core.record.RecordFold;
+import io.jaywick.core.record.RecordLine;
+
+/**
+ * Folds files into the sums of a period. Memory is bounded by {@code maxHeldEntries} and by the sums themselves; see
+ * docs/design-record.md for the slope.
+ */
+public final class RecordReader {
+
+    /** About 500 bytes of heap each, 200 MB in all. */
+    public static final long DEFAULT_HELD_ENTRIES = 400_000;
+
+    private final ReportPeriod period;
+    private final long maxHeldEntries;
+    private final RecordFold fold = new RecordFold();
+    private final RecordFiles files = new RecordFiles(false);
+    private final UsageSums sums;
+    private final List<ProcessGap> gaps = new ArrayList<>();
+    private final ServerSilences silences = new ServerSilences();
+    private int fileCount;
+    private long processCount;
+
+    public RecordReader(ReportPeriod period, long maxHeldEntries) {
+        this.period = period;
+        this.maxHeldEntries = maxHeldEntries;
+        this.sums = new UsageSums(period);
+    }
+
+    /** Reads the files in any order and returns the report. */
+    public UsageReport read(List<Path> paths, TableDirectory table, Runnable afterLine) throws IOException {
+        try (FoldSpill spill = new FoldSpill()) {
+            for (Path path : paths) {
+                fileCount++;
+                files.read(path, line -> {
+                    merge(line, spill);
+                    afterLine.run();
+                });
+            }
+            if (spill.isUsed()) {
+                spill.spill(fold);
+                spill.finish(fold, this::addProcess);
+            } else {
+                fold.finish(this::addProcess, fold);
+            }
+        }
+        for (ProcessGap gap : fold.unseen()) {
+            addGap(gap);
+        }
+        return new ReportBuilder(period, table, fold, sums, gaps, silences)
+                .build(
+                        new UsageReport.Input(
+                                fileCount,
+                                files.lineCount(),
+                                processCount,
+                                fold.servers().size()),
+                        files);
+    }
+
+    private void merge(RecordLine line, FoldSpill spill) {
+        fold.merge(line);
+        if (fold.heldEntries() > maxHeldEntries) {
+            spill.spill(fold);
+        }
+    }
+
+    private void addProcess(io.jaywick.core.record.ProcessFold process, ProcessGap gap) {
+        processCount++;
+        silences.add(process);
+        process.entries().forEach(sums::add);
+        if (gap != null) {
+            addGap(gap);
+        }
+    }
+
+    private void addGap(ProcessGap gap) {
+        if (period.mayConcern(gap.incarnation(), gap.lastWrittenMillis(), gap.finalSeen())) {
+            gaps.add(gap);
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The report of usage from the lines of the nodes.
+ */
+package io.jaywick.cli.report;
--- a/jaywick-core/src/main/java/io/jaywick/core/record/ProcessFold.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/ProcessFold.java
@@ -69,6 +69,14 @@
         return entries;
     }
 
+    public long lastWrittenMillis() {
+        return lastWrittenMillis;
+    }
+
+    public boolean finalSeen() {
+        return finalSeen;
+    }
+
     /** Returns everything folded so far as one line. */
     RecordLine toLine() {
         List<UsageEntry> list = new ArrayList<>(entries.size());
@@ -112,6 +120,7 @@
         }
         return new ProcessGap(
                 identity.server(),
+                identity.dataCentre(),
                 identity.incarnation(),
                 lastWrittenMillis,
                 finalSeen,
--- a/jaywick-core/src/main/java/io/jaywick/core/record/ProcessGap.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/ProcessGap.java
@@ -3,6 +3,7 @@
 /**
  * What the record of one process may hide.
  *
+ * @param dataCentre empty when the process has no line
  * @param incarnation start of the process, milliseconds since 1970
  * @param lastWrittenMillis time of its last line, 0 when it has no line
  * @param finalSeen true after a graceful end
@@ -15,6 +16,7 @@
  */
 public record ProcessGap(
         String server,
+        String dataCentre,
         long incarnation,
         long lastWrittenMillis,
         boolean finalSeen,
@@ -28,6 +30,7 @@
     static ProcessGap unseen(PeerHead head) {
         return new ProcessGap(
                 head.server(),
+                "",
                 head.incarnation(),
                 0,
                 false,
--- a/jaywick-core/src/main/java/io/jaywick/core/record/RecordFold.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/RecordFold.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
@@ -24,7 +25,7 @@
     private final Map<ProcessId, ProcessFold> processes = new HashMap<>();
     private final Map<IncarnationId, PeerHead> heads = new HashMap<>();
     private final Set<IncarnationId> incarnations = new HashSet<>();
-    private final TreeMap<Long, Map<String, ShareInForce>> shares = new TreeMap<>();
+    private final Map<String, TreeMap<Long, ShareInForce>> shares = new HashMap<>();
     private long heldEntries;
 
     /** Merges one line. */
@@ -81,6 +82,11 @@
         return gaps;
     }
 
+    /** Number of incarnations with at least one line. */
+    public long incarnationCount() {
+        return incarnations.size();
+    }
+
     /** Names of the servers that wrote at least one line. */
     public Set<String> servers() {
         Set<String> servers = new HashSet<>();
@@ -93,37 +99,43 @@
      * report up to this one; -1 when there is none.
      */
     public int agreedPercent(String party, long hour) {
-        Long reported = shares.floorKey(hour);
-        while (reported != null) {
-            ShareInForce share = shares.get(reported).get(party);
-            if (share != null) {
-                return share.percent();
+        TreeMap<Long, ShareInForce> reported = shares.get(party);
+        Map.Entry<Long, ShareInForce> last = reported == null ? null : reported.floorEntry(hour);
+        return last == null ? -1 : last.getValue().percent();
+    }
+
+    /** Agreed share of a party by the hour from which it applies, without hours that change nothing. */
+    public SortedMap<Long, Integer> agreedShares(String party) {
+        TreeMap<Long, Integer> changes = new TreeMap<>();
+        int percent = -1;
+        for (Map.Entry<Long, ShareInForce> reported :
+                shares.getOrDefault(party, new TreeMap<>()).entrySet()) {
+            if (reported.getValue().percent() != percent) {
+                percent = reported.getValue().percent();
+                changes.put(reported.getKey(), percent);
             }
-            reported = shares.lowerKey(reported);
         }
-        return -1;
+        return changes;
     }
 
     /** Parties with a reported share. */
     public Set<String> partiesWithShare() {
-        Set<String> parties = new HashSet<>();
-        shares.values().forEach(hour -> parties.addAll(hour.keySet()));
-        return parties;
+        return shares.keySet();
     }
 
     private void mergeShares(AgreedShares reported) {
-        if (reported == null) {
-            return;
+        if (reported != null) {
+            reported.percents().forEach((party, percent) -> shares.computeIfAbsent(party, ignored -> new TreeMap<>())
+                    .merge(reported.hour(), new ShareInForce(reported.revision(), percent), RecordFold::newer));
+        }
+    }
+
+    /** Of two shares under the same revision, which only a conflict of versions causes, the larger one counts. */
+    private static ShareInForce newer(ShareInForce a, ShareInForce b) {
+        if (a.revision() != b.revision()) {
+            return a.revision() > b.revision() ? a : b;
         }
-        Map<String, ShareInForce> hour = shares.computeIfAbsent(reported.hour(), ignored -> new HashMap<>());
-        reported.percents()
-                .forEach((party, percent) -> hour.merge(
-                        party,
-                        new ShareInForce(reported.revision(), percent),
-                        (a, b) ->
-                                b.revision() > a.revision() || b.revision() == a.revision() && b.percent() > a.percent()
-                                        ? b
-                                        : a));
+        return a.percent() >= b.percent() ? a : b;
     }
 
     private static PeerHead later(PeerHead a, PeerHead b) {
--- a/jaywick-core/src/main/java/io/jaywick/core/record/UsageCounters.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/UsageCounters.java
@@ -75,7 +75,8 @@
     /** Adds to a counter. Adding 0 creates nothing. */
     public void add(String name, long delta) {
         if (delta != 0) {
-            values[indexFor(name)] += delta;
+            int index = indexFor(name);
+            values[index] += delta;
         }
     }
 
