--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -8,6 +8,7 @@
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.report.ReportCommand;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -29,6 +30,7 @@
         commands.add(new CheckCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
+        commands.add(new ReportCommand());
         return commands;
     }
 }
