Wire one node from its components

Cause: distribution, proxy, limits and usage record were separate parts. Change: Node owns them, binds the ports before the identity is known to peers, and ends gracefully: refuse, finish, write the last lines, close. Conclusion: a fleet can be assembled in one process or many.

--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/FleetRevisionsMonitor.java
@@ -0,0 +1,60 @@
+package io.jaywick.node;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.jaywick.core.distribution.FleetStatus;
+import io.jaywick.core.limits.FleetRevisions;
+
+/**
+ * Answers the limiter from the fleet status. The status is fetched when the limiter asks, at most once at a time, and
+ * an answer older than {@value #FRESH_MILLIS} ms counts as unknown.
+ */
+final class FleetRevisionsMonitor implements FleetRevisions {
+
+    static final long FRESH_MILLIS = 5_000;
+
+    private final Supplier<CompletableFuture<FleetStatus>> fleet;
+    private final LongSupplier nanoTime;
+    private FleetStatus latest;
+    private long latestNanos;
+    private boolean fetching;
+
+    FleetRevisionsMonitor(Supplier<CompletableFuture<FleetStatus>> fleet, LongSupplier nanoTime) {
+        this.fleet = fleet;
+        this.nanoTime = nanoTime;
+    }
+
+    @Override
+    public boolean allWithin(long oldestRevision, long newestRevision) {
+        fetch();
+        synchronized (this) {
+            return latest != null
+                    && nanoTime.getAsLong() - latestNanos <= TimeUnit.MILLISECONDS.toNanos(FRESH_MILLIS)
+                    && latest.smallestActiveRevision().isPresent()
+                    && latest.smallestActiveRevision().getAsLong() >= oldestRevision
+                    && latest.revision() <= newestRevision;
+        }
+    }
+
+    private void fetch() {
+        synchronized (this) {
+            if (fetching) {
+                return;
+            }
+            fetching = true;
+        }
+        long askedNanos = nanoTime.getAsLong();
+        fleet.get().whenComplete((status, failure) -> {
+            synchronized (this) {
+                fetching = false;
+                if (failure == null) {
+                    latest = status;
+                    latestNanos = askedNanos;
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -0,0 +1,281 @@
+package io.jaywick.node;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.distribution.FleetStatus;
+import io.jaywick.core.limits.LimiterOptions;
+import io.jaywick.core.limits.PartyLimiter;
+import io.jaywick.core.membership.Member;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.core.message.QuotaRequest;
+import io.jaywick.core.message.SuspectEntry;
+import io.jaywick.core.record.PeerHead;
+import io.jaywick.core.record.RecorderIdentity;
+import io.jaywick.core.settings.IdentitySettings;
+import io.jaywick.core.settings.ListenSettings;
+import io.jaywick.core.settings.NodeSettings;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.node.frame.FrameCodec;
+import io.jaywick.node.peer.DistributionConfig;
+import io.jaywick.node.peer.DistributionService;
+import io.jaywick.node.peer.DistributionStatus;
+import io.jaywick.node.peer.LinkLimits;
+import io.jaywick.node.peer.MessageHandlers;
+import io.jaywick.node.peer.PeerServer;
+import io.jaywick.node.peer.PeerTraffic;
+import io.jaywick.node.peer.SuspectExchange;
+import io.jaywick.node.peer.TcpPeerLink;
+import io.jaywick.node.proxy.NodePlace;
+import io.jaywick.node.proxy.ProxyContext;
+import io.jaywick.node.proxy.ProxyServer;
+import io.jaywick.node.record.UsageRecordWriter;
+import io.jaywick.node.trace.Tracing;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+
+/**
+ * One node: distribution, proxy, limits and usage record wired together. See docs/design.md, section 2. The order of
+ * a graceful end is: refuse new calls, finish those in flight, write the last usage lines, close the links.
+ */
+public final class Node implements AutoCloseable {
+
+    private static final Logger LOG = System.getLogger(Node.class.getName());
+
+    private static final long LIMIT_TICK_MILLIS = 100;
+    private static final int MAX_SUSPECTS_PER_DIGEST = 4;
+
+    private final IdentitySettings identity;
+    private final ListenSettings listen;
+    private final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final PeerTraffic traffic = new PeerTraffic();
+    private final Tracing tracing;
+    private final TcpPeerLink tcpLink;
+    private final PeerServer peerServer;
+    private final ProxyServer proxy;
+    private final DistributionService distribution;
+    private final PartyLimiter limiter;
+    private final UsageRecordWriter record;
+    private final NodeEnvironment environment;
+    private Disposable limitTimer = Disposables.disposed();
+
+    /** Binds the ports. The node takes part in the fleet after {@link #start}. */
+    public Node(NodeSettings settings, NodeEnvironment environment) {
+        this.environment = environment;
+        this.identity = settings.node();
+        this.listen = settings.listen();
+        MessageHandlers handlers = new MessageHandlers();
+        DeferredMembership members = new DeferredMembership();
+        FrameCodec codec = new FrameCodec();
+        this.tracing = new Tracing(environment.spans(), settings.trace().sampleOneIn());
+        this.peerServer = new PeerServer(
+                settings.listen().peerAddress(), handlers, codec, traffic, LinkLimits.DEFAULTS, environment.loops());
+        this.tcpLink = new TcpPeerLink(
+                codec, traffic, LinkLimits.DEFAULTS, environment.loops(), this::self, environment.random());
+        PeerLink link = environment.linkDecorator().apply(tcpLink);
+        this.record = new UsageRecordWriter(
+                new RecorderIdentity(
+                        identity.server(),
+                        identity.dataCentre(),
+                        identity.region(),
+                        environment.incarnation(),
+                        environment.random().nextLong()),
+                settings.record(),
+                environment.scheduler(),
+                environment.usageLines(),
+                () -> peerHeads(members));
+        this.limiter = new PartyLimiter(
+                new LimiterOptions(
+                        identity.server(),
+                        environment.incarnation(),
+                        settings.limits().holdersPerParty(),
+                        settings.limits().grantMillis(),
+                        environment.firstStart()),
+                link,
+                server -> members.member(server).map(Member::peerAddress),
+                new FleetRevisionsMonitor(this::fleetStatus, System::nanoTime),
+                System::nanoTime,
+                environment.random());
+        handlers.register(
+                QuotaRequest.class,
+                message -> CompletableFuture.<Message>completedFuture(limiter.handle((QuotaRequest) message)));
+        this.proxy = new ProxyServer(
+                new ProxyContext(
+                        new NodePlace(identity.server(), identity.dataCentre(), identity.region()),
+                        this::snapshot,
+                        members,
+                        limiter,
+                        record.recorder(),
+                        settings.calls(),
+                        environment.scheduler(),
+                        System::nanoTime,
+                        () -> Instant.ofEpochMilli(environment.scheduler().now(TimeUnit.MILLISECONDS)),
+                        environment.random(),
+                        meters,
+                        tracing.tracer()),
+                settings.listen().egressAddress(),
+                settings.listen().ingressAddress(),
+                settings.target().address());
+        this.distribution = new DistributionService(
+                new DistributionConfig(self(), settings.source(), settings.peers()),
+                new DistributionService.Environment(
+                        environment.source(),
+                        environment.instances(),
+                        link,
+                        handlers,
+                        environment.scheduler(),
+                        environment.random()),
+                this::adopted,
+                new TableCheck(),
+                suspects());
+        members.set(distribution.membership());
+        meters.gauge(
+                "jaywick_revision", distribution, service -> service.status().revision());
+        meters.gauge(
+                "jaywick_peers_alive", distribution, service -> service.status().alive());
+        meters.gauge("jaywick_control_sent_bytes", traffic, PeerTraffic::sentBytes);
+        meters.gauge("jaywick_control_received_bytes", traffic, PeerTraffic::receivedBytes);
+    }
+
+    /** Joins the fleet. */
+    public void start() {
+        distribution.start();
+        limitTimer = environment
+                .scheduler()
+                .schedulePeriodically(this::tickLimits, LIMIT_TICK_MILLIS, LIMIT_TICK_MILLIS, TimeUnit.MILLISECONDS);
+        LOG.log(
+                Level.INFO,
+                () -> "node " + identity.server() + " started: peers on " + peerServer.address() + ", callers on "
+                        + egressAddress() + ", other nodes on "
+                        + ingressAddress());
+    }
+
+    /** Refuses new calls, waits for those in flight, writes the last usage lines and closes. */
+    public CompletableFuture<Void> shutDown() {
+        distribution.leave();
+        return proxy.shutDown().whenComplete((ignored, failure) -> closeAfterProxy());
+    }
+
+    /** Ends at once. Calls in flight are cut. */
+    @Override
+    public void close() {
+        proxy.close();
+        closeAfterProxy();
+    }
+
+    /** The active snapshot, or null before the first version. */
+    public Snapshot snapshot() {
+        return distribution == null ? null : distribution.snapshot();
+    }
+
+    public DistributionStatus status() {
+        return distribution.status();
+    }
+
+    public CompletableFuture<FleetStatus> fleetStatus() {
+        return distribution.fleetStatus();
+    }
+
+    public PeerTraffic traffic() {
+        return traffic;
+    }
+
+    public PrometheusMeterRegistry meters() {
+        return meters;
+    }
+
+    /** Current lines of the usage record. */
+    public List<String> usageLines() {
+        return record.currentLines();
+    }
+
+    public IdentitySettings identity() {
+        return identity;
+    }
+
+    public String peerAddress() {
+        return peerServer.address();
+    }
+
+    public String egressAddress() {
+        return bound(listen.egressAddress(), proxy.egress().port());
+    }
+
+    public String ingressAddress() {
+        return bound(listen.ingressAddress(), proxy.ingress().port());
+    }
+
+    private static String bound(String address, int port) {
+        return address.substring(0, address.lastIndexOf(':') + 1) + port;
+    }
+
+    private PeerEntry self() {
+        return new PeerEntry(
+                identity.server(),
+                identity.dataCentre(),
+                identity.region(),
+                identity.service(),
+                peerServer.address(),
+                ingressAddress(),
+                environment.incarnation(),
+                0,
+                false);
+    }
+
+    private void adopted(Snapshot snapshot) {
+        limiter.onSnapshot(snapshot);
+        record.recorder().onSnapshot(snapshot);
+        environment.observer().onSnapshot(snapshot);
+    }
+
+    /** A failure must not end the periodic tick, because grants expire without renewal. */
+    private void tickLimits() {
+        try {
+            limiter.tick();
+        } catch (RuntimeException e) {
+            LOG.log(Level.ERROR, "tick of the party limits failed", e);
+        }
+    }
+
+    private List<PeerHead> peerHeads(DeferredMembership members) {
+        List<PeerHead> heads = new ArrayList<>();
+        for (Member member : members.members()) {
+            if (!member.server().equals(identity.server()) && member.incarnation() > 0) {
+                heads.add(new PeerHead(member.server(), member.incarnation(), 0, 0, 0));
+            }
+        }
+        return heads;
+    }
+
+    private SuspectExchange suspects() {
+        return new SuspectExchange() {
+            @Override
+            public List<SuspectEntry> outgoing(String region) {
+                return proxy.suspectsFor(region, MAX_SUSPECTS_PER_DIGEST);
+            }
+
+            @Override
+            public void incoming(List<SuspectEntry> entries) {
+                entries.forEach(proxy::mergeSuspect);
+            }
+        };
+    }
+
+    private void closeAfterProxy() {
+        limitTimer.dispose();
+        record.close();
+        distribution.close();
+        tcpLink.close();
+        peerServer.close();
+        tracing.close();
+    }
+}
