--- a/jaywick-core/src/main/java/io/jaywick/core/snapshot/SnapshotBuilder.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/snapshot/SnapshotBuilder.java
@@ -16,6 +16,7 @@
 import io.jaywick.core.table.SheetRow;
 import io.jaywick.core.table.TableContent;
 import io.jaywick.core.table.TableFormatException;
+import io.jaywick.core.table.TableProblem;
 import io.jaywick.core.table.TableRows;
 
 /** Builds a snapshot from accepted canonical content; needs nothing but the canonical rows. */
@@ -135,8 +136,7 @@
     private static <T> T resolve(Map<String, T> objects, SheetRow row, String column) {
         T object = objects.get(row.field(column));
         if (object == null) {
-            throw new SnapshotException(row.sheet().sheetName() + " row " + row.number() + ": " + column + " "
-                    + row.field(column) + " is unknown");
+            throw new SnapshotException(place(row, column) + " is unknown");
         }
         return object;
     }
@@ -146,15 +146,23 @@
     }
 
     private static int intOf(SheetRow row, String column) {
-        return Math.toIntExact(longOf(row, column));
+        long value = longOf(row, column);
+        if (value != (int) value) {
+            throw new SnapshotException(place(row, column) + " exceeds 32 bits");
+        }
+        return (int) value;
     }
 
     private static long longOf(SheetRow row, String column) {
         try {
             return Long.parseLong(row.field(column));
         } catch (NumberFormatException e) {
-            throw new SnapshotException(
-                    row.sheet().sheetName() + " row " + row.number() + ": " + column + " is not a number", e);
+            throw new SnapshotException(place(row, column) + " is not a number", e);
         }
     }
+
+    private static String place(SheetRow row, String column) {
+        return row.sheet().sheetName() + " row " + row.number() + ": " + column + " "
+                + TableProblem.shown(row.field(column));
+    }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/table/PackedTable.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/table/PackedTable.java
@@ -21,6 +21,10 @@
     /** Longest sheet name that is read from a value; the known names are shorter. */
     private static final int NAME_BYTES = 256;
 
+    /** By default the library also reads binary data where text is asked for. */
+    private static final MessagePack.UnpackerConfig UNPACKER =
+            new MessagePack.UnpackerConfig().withAllowReadingBinaryAsString(false);
+
     private PackedTable() {}
 
     /** Packs the bytes of each sheet under its name, in the order of the map. */
@@ -49,7 +53,7 @@
                     "the value has " + packed.length + " bytes, allowed are " + TableLimits.VALUE_BYTES);
             return null;
         }
-        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(packed)) {
+        try (MessageUnpacker unpacker = UNPACKER.newUnpacker(packed)) {
             Map<String, byte[]> sheets = new LinkedHashMap<>();
             int size = unpacker.unpackMapHeader();
             for (int i = 0; i < size; i++) {
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/FieldRule.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/FieldRule.java
@@ -15,7 +15,7 @@
 interface FieldRule {
 
     Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]*");
-    Pattern NUMBER = Pattern.compile("-?(0|[1-9][0-9]*)");
+    Pattern NUMBER = Pattern.compile("0|-?[1-9][0-9]*");
     Pattern PATH_PREFIX = Pattern.compile("/[!-~&&[^?#\"\\\\]]*");
     BigInteger LONG_MAX = BigInteger.valueOf(Long.MAX_VALUE);
 
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/verdict/TableFuzzTestCase.java
@@ -0,0 +1,145 @@
+package io.jaywick.core.verdict;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import io.jaywick.core.JaywickException;
+import io.jaywick.core.snapshot.SnapshotBuilder;
+import io.jaywick.core.table.PackedTable;
+import io.jaywick.core.table.ProblemType;
+import io.jaywick.core.table.Sheet;
+import io.jaywick.core.table.TableContent;
+import io.jaywick.core.table.TableLimits;
+import io.jaywick.core.table.TableRows;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.not;
+
+class TableFuzzTestCase {
+
+    private static final String ALPHABET = "ab/,,,\"\"\n\r \t\0#-019\u00fc\u2028\ud800";
+
+    /** Guards against a sheet that crashes the verdict. Bytes are random, or text of the characters that CSV minds. */
+    @Property(tries = 2_000, seed = "20260111", shrinking = ShrinkingMode.OFF)
+    void judgesAnySheet(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Map<String, byte[]> sheets = SampleTable.sheets();
+        for (Sheet sheet : Sheet.values()) {
+            byte[] tail = bytes(random);
+            byte[] head = random.nextBoolean() ? sheets.get(sheet.sheetName()) : new byte[0];
+            byte[] both = Arrays.copyOf(head, head.length + tail.length);
+            System.arraycopy(tail, 0, both, head.length, tail.length);
+            sheets.put(sheet.sheetName(), both);
+        }
+        TableVerdict verdict = TableVerdict.ofSheets(sheets);
+        assertThat(
+                "seed " + seed, verdict.accepted(), equalTo(verdict.problems().isEmpty()));
+        assertThat(TableVerdict.ofPacked(PackedTable.pack(sheets)).problems(), equalTo(verdict.problems()));
+    }
+
+    /** Guards against a damaged value that crashes the verdict, or is accepted with content that cannot be built. */
+    @Property(tries = 3_000, seed = "20260112", shrinking = ShrinkingMode.OFF)
+    void judgesAnyDamagedValue(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        byte[] packed = PackedTable.pack(SampleTable.sheets());
+        for (int i = random.nextInt(1, 6); i > 0; i--) {
+            packed[random.nextInt(random.nextBoolean() ? packed.length : 20)] = (byte) random.nextInt(256);
+        }
+        if (random.nextInt(4) == 0) {
+            packed = Arrays.copyOf(packed, random.nextInt(packed.length + 5));
+        }
+        TableVerdict verdict = TableVerdict.ofPacked(packed);
+        if (verdict.accepted()) {
+            SnapshotBuilder.build(1, verdict.content());
+        }
+    }
+
+    /** Guards against canonical bytes or rows of a peer that fail with anything but a typed error. */
+    @Property(tries = 2_000, seed = "20260113", shrinking = ShrinkingMode.OFF)
+    void readsAnyCanonicalContent(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        byte[] canonical = TableVerdict.ofSheets(SampleTable.sheets()).content().canonicalBytes();
+        for (int i = random.nextInt(1, 4); i > 0; i--) {
+            canonical[random.nextInt(canonical.length)] = (byte) ALPHABET.charAt(random.nextInt(ALPHABET.length()));
+        }
+        Map<Sheet, Map<String, String>> rows = new EnumMap<>(Sheet.class);
+        rows.put(Sheet.values()[random.nextInt(5)], Map.of("a", new String(bytes(random), StandardCharsets.UTF_8)));
+        assertThat(TableVerdict.ofContent(new TableContent(rows)).problems(), not(empty()));
+        try {
+            TableContent content = TableRows.parseCanonicalBytes(canonical);
+            assertThat(content.canonicalBytes(), equalTo(canonical));
+            TableVerdict.ofContent(content);
+            SnapshotBuilder.build(1, content);
+        } catch (JaywickException e) {
+            assertThat(e.getMessage(), not(equalTo("")));
+        }
+    }
+
+    /** Guards against lengths in the value's headers that are allocated before they are checked. */
+    @Example
+    void refusesLengthsBeyondTheValue() {
+        byte[][] values = {
+            {(byte) 0xDF, 0x7F, -1, -1, -1},
+            {(byte) 0xDF, -1, -1, -1, -1},
+            {(byte) 0x81, (byte) 0xDB, 0x7F, -1, -1, -1},
+            {(byte) 0x81, (byte) 0xA1, 'a', (byte) 0xDB, 0x7F, -1, -1, -1, 'x'},
+            {(byte) 0x81, (byte) 0xA1, 'a', (byte) 0xDB, -1, -1, -1, -1, 'x'},
+            {(byte) 0x81, (byte) 0xA1, 'a', (byte) 0xC4, 1, 'x'},
+            {(byte) 0x80, 0},
+            {},
+        };
+        for (byte[] value : values) {
+            assertThat(TableVerdict.ofPacked(value).problems().get(0).type(), equalTo(ProblemType.MALFORMED_VALUE));
+        }
+        byte[] large = new byte[TableLimits.VALUE_BYTES + 1];
+        assertThat(TableVerdict.ofPacked(large).problems().get(0).type(), equalTo(ProblemType.VALUE_TOO_LARGE));
+    }
+
+    /** Guards against a value with a sheet twice, of which readers could take different ones. */
+    @Example
+    void refusesSheetHeldTwice() {
+        byte[] packed = PackedTable.pack(SampleTable.with("servezs", SampleTable.SERVERS));
+        String text = new String(packed, StandardCharsets.ISO_8859_1).replace("servezs", "servers");
+        TableVerdict verdict = TableVerdict.ofPacked(text.getBytes(StandardCharsets.ISO_8859_1));
+        assertThat(verdict.problems(), hasSize(1));
+        assertThat(verdict.problems().get(0).type(), equalTo(ProblemType.DUPLICATE_SHEET));
+    }
+
+    /** Guards against half a million problems in memory, or as many region sets, for one value of 1 MB. */
+    @Example
+    void limitsTheProblemsOfOneVerdict() {
+        TableVerdict verdict = TableVerdict.ofSheets(SampleTable.with("parties", "a\n".repeat(500_000)));
+        assertThat(verdict.problems(), not(empty()));
+        String parties = SampleTable.PARTIES + ",,,,,\n".repeat(150_000);
+        verdict = TableVerdict.ofSheets(SampleTable.with("parties", parties));
+        assertThat(verdict.problems(), hasSize(TableLimits.PROBLEMS + 1));
+        assertThat(verdict.problems().get(TableLimits.PROBLEMS).type(), equalTo(ProblemType.FURTHER_PROBLEMS));
+        assertThat(
+                TableVerdict.ofSheets(SampleTable.with("parties", SampleTable.PARTIES + ",".repeat(900_000)))
+                        .problems(),
+                hasSize(1));
+    }
+
+    private static byte[] bytes(SplittableRandom random) {
+        byte[] bytes = new byte[random.nextInt(200)];
+        if (random.nextBoolean()) {
+            random.nextBytes(bytes);
+            return bytes;
+        }
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < bytes.length; i++) {
+            text.append(ALPHABET.charAt(random.nextInt(ALPHABET.length())));
+        }
+        return text.toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
