--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings file of a node. */
+package io.jaywick.node.settings;
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/instances/FakeInstanceList.java
@@ -0,0 +1,112 @@
+package io.jaywick.standin.instances;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.node.source.InstanceEntry;
+import io.jaywick.node.source.InstanceList;
+import io.jaywick.node.source.SourceException;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Instance list in memory. Changes become visible after a lag on the scheduler's clock, and wrong entries can be added
+ * that hide or accompany the right ones.
+ */
+public final class FakeInstanceList implements InstanceList {
+
+    private final Scheduler scheduler;
+    private final Map<String, InstanceEntry> entries = new TreeMap<>();
+    private final Map<String, InstanceEntry> wrong = new TreeMap<>();
+    private final Deque<Change> changes = new ArrayDeque<>();
+
+    private Duration lag = Duration.ZERO;
+    private boolean out;
+    private long calls;
+    private List<InstanceEntry> visible = List.of();
+
+    public FakeInstanceList(Scheduler scheduler) {
+        this.scheduler = scheduler;
+    }
+
+    private record Change(long visibleAtMillis, List<InstanceEntry> entries) {}
+
+    /** Adds or replaces the entry of a server. */
+    public synchronized void put(InstanceEntry entry) {
+        entries.put(entry.server(), entry);
+        record();
+    }
+
+    /** Adds or replaces the entries of many servers in one change. */
+    public synchronized void putAll(Collection<InstanceEntry> added) {
+        for (InstanceEntry entry : added) {
+            entries.put(entry.server(), entry);
+        }
+        record();
+    }
+
+    /** Removes the entry of a server. */
+    public synchronized void remove(String server) {
+        entries.remove(server);
+        record();
+    }
+
+    /** Time after which later changes become visible; changes stay in order. */
+    public synchronized void setLag(Duration lag) {
+        this.lag = lag;
+    }
+
+    /** Shows a wrong entry at once, in place of the right one of that server if there is one. */
+    public synchronized void putWrong(InstanceEntry entry) {
+        wrong.put(entry.server(), entry);
+    }
+
+    /** Stops showing wrong entries. */
+    public synchronized void clearWrong() {
+        wrong.clear();
+    }
+
+    /** In an outage every call fails. */
+    public synchronized void setOutage(boolean outage) {
+        out = outage;
+    }
+
+    /** Number of calls so far. */
+    public synchronized long calls() {
+        return calls;
+    }
+
+    @Override
+    public synchronized CompletableFuture<List<InstanceEntry>> list() {
+        calls++;
+        if (out) {
+            return CompletableFuture.failedFuture(
+                    new SourceException(SourceException.Kind.UNREACHABLE, "the instance list does not answer"));
+        }
+        long now = scheduler.now(TimeUnit.MILLISECONDS);
+        while (!changes.isEmpty() && changes.peek().visibleAtMillis() <= now) {
+            visible = changes.remove().entries();
+        }
+        Map<String, InstanceEntry> shown = new TreeMap<>();
+        for (InstanceEntry entry : visible) {
+            shown.put(entry.server(), entry);
+        }
+        shown.putAll(wrong);
+        return CompletableFuture.completedFuture(new ArrayList<>(shown.values()));
+    }
+
+    private void record() {
+        long visibleAt = scheduler.now(TimeUnit.MILLISECONDS) + lag.toMillis();
+        if (!changes.isEmpty()) {
+            visibleAt = Math.max(visibleAt, changes.peekLast().visibleAtMillis());
+        }
+        changes.add(new Change(visibleAt, List.copyOf(entries.values())));
+    }
+}
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/instances/package-info.java
@@ -0,0 +1,2 @@
+/** Fake instance list. */
+package io.jaywick.standin.instances;
