--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -6,6 +6,7 @@
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -22,6 +23,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand());
+        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand(), new StatusCommand());
     }
 }
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/status/package-info.java
@@ -0,0 +1,2 @@
+/** The status command. */
+package io.jaywick.cli.status;
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/admin/package-info.java
@@ -0,0 +1,2 @@
+/** Read-only administration over HTTP. */
+package io.jaywick.node.admin;
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/JsonLogger.java
@@ -0,0 +1,118 @@
+package io.jaywick.node.log;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.text.MessageFormat;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.ResourceBundle;
+import java.util.function.Consumer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+
+/**
+ * Logger that writes one JSON object per line with the fields time, level, logger, message, node, error, then the
+ * {@link LogField} parameters. A field does not replace one of the fixed names other than node.
+ */
+final class JsonLogger implements System.Logger {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final String name;
+    private final Level threshold;
+    private final InstantSource clock;
+    private final Consumer<String> lines;
+
+    JsonLogger(String name, Level threshold, InstantSource clock, Consumer<String> lines) {
+        this.name = name;
+        this.threshold = threshold;
+        this.clock = clock;
+        this.lines = lines;
+    }
+
+    @Override
+    public String getName() {
+        return name;
+    }
+
+    @Override
+    public boolean isLoggable(Level level) {
+        return level != Level.OFF && level.getSeverity() >= threshold.getSeverity();
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String message, Throwable error) {
+        if (isLoggable(level)) {
+            write(level, message, error, List.of());
+        }
+    }
+
+    @Override
+    public void log(Level level, ResourceBundle bundle, String format, Object... params) {
+        if (!isLoggable(level)) {
+            return;
+        }
+        List<Object> arguments = new ArrayList<>();
+        List<LogField> fields = new ArrayList<>();
+        Throwable error = null;
+        for (Object param : params == null ? new Object[0] : params) {
+            if (param instanceof LogField field) {
+                fields.add(field);
+            } else if (param instanceof Throwable throwable) {
+                error = throwable;
+            } else {
+                arguments.add(param);
+            }
+        }
+        write(level, message(format, arguments), error, fields);
+    }
+
+    private static String message(String format, List<Object> arguments) {
+        if (arguments.isEmpty() || format == null) {
+            return format;
+        }
+        try {
+            return MessageFormat.format(format, arguments.toArray());
+        } catch (IllegalArgumentException e) {
+            return format + " " + arguments;
+        }
+    }
+
+    private void write(Level level, String message, Throwable error, List<LogField> fields) {
+        Map<String, Object> line = new LinkedHashMap<>();
+        line.put("time", Instant.ofEpochMilli(clock.millis()).toString());
+        line.put("level", level.getName());
+        line.put("logger", name);
+        line.put("message", message);
+        line.put("node", JsonLoggerFinder.node());
+        line.put("error", error == null ? null : stackTrace(error));
+        for (LogField field : fields) {
+            if (field.name().equals("node")) {
+                line.put("node", field.value());
+            } else {
+                line.putIfAbsent(field.name(), plain(field.value()));
+            }
+        }
+        line.values().removeIf(value -> value == null);
+        try {
+            lines.accept(JSON.writeValueAsString(line));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("text and numbers can be written as JSON", e);
+        }
+    }
+
+    private static Object plain(Object value) {
+        return value instanceof Number || value instanceof Boolean ? value : String.valueOf(value);
+    }
+
+    private static String stackTrace(Throwable error) {
+        StringWriter text = new StringWriter();
+        error.printStackTrace(new PrintWriter(text, true));
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log lines as JSON. */
+package io.jaywick.node.log;
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/settings/SettingsReader.java
@@ -0,0 +1,171 @@
+package io.jaywick.node.settings;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import io.jaywick.core.settings.NodeSettings;
+import io.jaywick.core.settings.SettingDefinition;
+import io.jaywick.core.table.TableProblem;
+
+/** Reads the settings of a node from a TOML file and checks them against the schema. All errors are reported at once. */
+public final class SettingsReader {
+
+    private static final int FILE_LIMIT_BYTES = 65_536;
+    /** The schema needs one level. The TOML parser descends once per level, so deep nesting would exhaust its stack. */
+    private static final int BRACKETS_LIMIT = 256;
+
+    private static final TomlMapper TOML = new TomlMapper();
+    private static final ObjectMapper RECORDS = new ObjectMapper();
+
+    private final String file;
+    private final List<String> errors = new ArrayList<>();
+
+    private SettingsReader(String file) {
+        this.file = file;
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException when it cannot be read or has an invalid setting
+     */
+    public static NodeSettings read(Path file) {
+        try (InputStream input = Files.newInputStream(file)) {
+            return parse(file.toString(), input.readNBytes(FILE_LIMIT_BYTES + 1));
+        } catch (IOException e) {
+            throw new SettingsException(List.of(file + ": cannot be read: " + e));
+        }
+    }
+
+    /**
+     * Reads the bytes of a file.
+     *
+     * @param file name for error messages
+     * @throws SettingsException when they have an invalid setting
+     */
+    public static NodeSettings parse(String file, byte[] bytes) {
+        SettingsReader reader = new SettingsReader(file);
+        NodeSettings settings = reader.parse(bytes);
+        if (!reader.errors.isEmpty()) {
+            throw new SettingsException(reader.errors);
+        }
+        return settings;
+    }
+
+    private NodeSettings parse(byte[] bytes) {
+        JsonNode root = tree(bytes);
+        if (root == null) {
+            return null;
+        }
+        Map<String, Map<String, Object>> values = new LinkedHashMap<>();
+        for (SettingDefinition definition : NodeSettings.DEFINITIONS) {
+            Object value = value(definition, root.path(definition.section()).path(definition.name()));
+            values.computeIfAbsent(definition.section(), section -> new LinkedHashMap<>())
+                    .put(definition.name(), value);
+        }
+        checkNames(root, values);
+        return errors.isEmpty() ? RECORDS.convertValue(values, NodeSettings.class) : null;
+    }
+
+    private JsonNode tree(byte[] bytes) {
+        if (bytes.length > FILE_LIMIT_BYTES) {
+            errors.add(file + ": the file has more than " + FILE_LIMIT_BYTES + " bytes, which are allowed at most");
+            return null;
+        }
+        int brackets = 0;
+        for (byte b : bytes) {
+            brackets += b == '[' || b == '{' || b == '.' ? 1 : 0;
+        }
+        if (brackets > BRACKETS_LIMIT) {
+            errors.add(
+                    file + ": the file has " + brackets + " brackets, braces and dots, allowed are " + BRACKETS_LIMIT);
+            return null;
+        }
+        try {
+            String text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(bytes))
+                    .toString();
+            return TOML.readTree(text);
+        } catch (CharacterCodingException e) {
+            errors.add(file + ": the file is not valid UTF-8");
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
+            errors.add(file + ", line " + line + ": not valid TOML: " + e.getOriginalMessage());
+        }
+        return null;
+    }
+
+    private void checkNames(JsonNode root, Map<String, Map<String, Object>> known) {
+        for (Map.Entry<String, JsonNode> section : root.properties()) {
+            Map<String, Object> names = known.get(section.getKey());
+            if (names == null) {
+                errors.add(file + ", section " + shown(section.getKey()) + ": unknown; allowed are "
+                        + new TreeSet<>(known.keySet()));
+            } else if (!section.getValue().isObject()) {
+                errors.add(file + ", section " + shown(section.getKey()) + ": "
+                        + shown(section.getValue().toString()) + " is not a table of settings");
+            } else {
+                for (Map.Entry<String, JsonNode> setting : section.getValue().properties()) {
+                    if (!names.containsKey(setting.getKey())) {
+                        errors.add(
+                                file + ", key " + section.getKey() + "." + shown(setting.getKey()) + ": unknown, with"
+                                        + " value " + shown(setting.getValue().toString()) + "; allowed are "
+                                        + new TreeSet<>(names.keySet()));
+                    }
+                }
+            }
+        }
+    }
+
+    private Object value(SettingDefinition definition, JsonNode node) {
+        boolean number = definition.type().equals("int") || definition.type().equals("long");
+        if (node.isMissingNode()) {
+            if (definition.defaultValue() == null) {
+                errors.add(file + ", key " + key(definition) + ": missing; required is "
+                        + SettingTypes.allowed(definition));
+                return null;
+            }
+            return number
+                    ? Long.valueOf(definition.defaultValue())
+                    : SettingTypes.text(definition, definition.defaultValue());
+        }
+        Object value = null;
+        if (number) {
+            boolean inRange = node.isIntegralNumber()
+                    && node.canConvertToLong()
+                    && node.longValue() >= definition.min()
+                    && node.longValue() <= definition.max();
+            value = inRange ? node.longValue() : null;
+        } else if (node.isTextual()) {
+            value = SettingTypes.text(definition, node.textValue());
+        }
+        if (value == null) {
+            errors.add(file + ", key " + key(definition) + ": " + shown(node.toString())
+                    + " is not allowed; allowed is " + SettingTypes.allowed(definition));
+        }
+        return value;
+    }
+
+    private static String key(SettingDefinition definition) {
+        return definition.section() + "." + definition.name();
+    }
+
+    private static String shown(String value) {
+        return TableProblem.shown(value);
+    }
+}
