--- a/jaywick-core/src/main/java/io/jaywick/core/admission/AdmissionQueue.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/AdmissionQueue.java
@@ -70,21 +70,21 @@
         if (capacity == 0) {
             return call;
         }
+        Line own = lines.get(call.party);
         Waiter displaced = null;
         if (size >= capacity) {
-            displaced = displacedBy(call);
+            displaced = displacedBy(call, own);
             if (displaced == call) {
                 return call;
             }
             remove(displaced);
         }
-        Line line = lines.get(call.party);
-        if (line == null) {
-            line = new Line();
-            line.spareServed = leastSpareServed();
-            lines.put(call.party, line);
+        if (own == null) {
+            own = new Line();
+            own.spareServed = leastSpareServed();
         }
-        line.calls.addLast(call);
+        lines.put(call.party, own);
+        own.calls.addLast(call);
         call.waiting = true;
         size++;
         return displaced;
@@ -152,14 +152,13 @@
      * A party within its share of the places takes one from a party that exceeds its own; above its share a call takes
      * the place of a less important one only.
      */
-    private Waiter displacedBy(Waiter call) {
-        Line own = lines.get(call.party);
-        boolean withinShare = (own == null ? 0 : own.calls.size()) + 1 <= call.agreedShare * capacity + ROUNDING;
+    private Waiter displacedBy(Waiter call, Line own) {
+        boolean withinShare = (own == null ? 0 : own.calls.size()) + 1 <= places(call.agreedShare);
         Line victim = null;
         double victimExcess = 0;
         for (Line line : lines.values()) {
-            double excess = line.calls.size() - line.share() * capacity;
-            boolean exceeds = excess > ROUNDING;
+            double excess = line.calls.size() - places(line.share());
+            boolean exceeds = excess > 0;
             if (line != own
                     && exceeds
                     && (withinShare || call.outranks(line.worst()))
@@ -176,6 +175,11 @@
         return own != null && call.outranks(own.worst()) ? own.worst() : call;
     }
 
+    /** Even a small share keeps one place; without it the party could never become due for a slot. */
+    private double places(double share) {
+        return Math.max(1, share * capacity + ROUNDING);
+    }
+
     private long leastSpareServed() {
         long least = Long.MAX_VALUE;
         for (Line line : lines.values()) {
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/admission/AdmissionTestCase.java
@@ -0,0 +1,217 @@
+package io.jaywick.core.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import io.jaywick.core.routing.RefusalReason;
+import io.jaywick.core.routing.Tables;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class AdmissionTestCase {
+
+    private static final String FIXED_SEED = "20261204";
+    private static final long MILLI = 1_000_000;
+    private static final String SERVER = "x-a1-0";
+
+    private long now;
+
+    static final class Call extends Waiter {
+        boolean admitted;
+        RefusalReason refused;
+
+        Call(String party, int share, int importance, long deadlineNanos) {
+            super(party, share, importance, importance, deadlineNanos);
+        }
+
+        @Override
+        protected void admitted() {
+            admitted = true;
+        }
+
+        @Override
+        protected void refused(RefusalReason reason) {
+            refused = reason;
+        }
+    }
+
+    private Admission admission(int queue, long rampMillis) {
+        Admission admission = new Admission(SERVER, queue, rampMillis, () -> now);
+        admission.adopt(Tables.table(Map.of("x", 100), 1, Set.of(), true, Set.of()));
+        return admission;
+    }
+
+    private Call offer(Admission admission, String party) {
+        Call call = new Call(party, 50, 1, now + 1_000 * MILLI);
+        admission.offer(call);
+        return call;
+    }
+
+    /** Guards against a cold target that gets more calls than it has proved to bear (I4). */
+    @Property(tries = 200, seed = FIXED_SEED)
+    void coldTargetIsNeverOverloaded(@ForAll Random random) {
+        Admission admission = admission(4, 0);
+        int capacity = Tables.COLD;
+        List<Call> running = new ArrayList<>();
+        List<Call> waiting = new ArrayList<>();
+        int naiveRunning = 0;
+        int naiveWorst = 0;
+        for (int step = 0; step < 200; step++) {
+            now += MILLI;
+            if (random.nextInt(3) > 0 || running.isEmpty()) {
+                waiting.add(offer(admission, "p" + random.nextInt(3)));
+                naiveRunning++;
+                naiveWorst = Math.max(naiveWorst, naiveRunning - capacity);
+            } else {
+                running.remove(random.nextInt(running.size()));
+                naiveRunning--;
+                boolean lost = random.nextInt(20) == 0;
+                capacity = lost ? Tables.COLD : Math.min(Tables.SLOTS, capacity + 1);
+                if (lost) {
+                    admission.targetLost();
+                    capacity = Math.max(capacity, running.size());
+                } else {
+                    admission.answered("r", MILLI);
+                }
+                admission.released();
+            }
+            for (Call call : List.copyOf(waiting)) {
+                if (call.admitted) {
+                    running.add(call);
+                }
+                if (call.admitted || call.refused != null) {
+                    waiting.remove(call);
+                }
+            }
+            assertThat(running.size(), is(admission.inFlight()));
+            assertThat(running.size(), lessThanOrEqualTo(capacity));
+            assertThat(waiting.size(), is(admission.queued()));
+        }
+        assertThat(naiveWorst, greaterThanOrEqualTo(1));
+    }
+
+    /** Guards against a slot that is held after its call ended, and against calls that wait beside a free slot. */
+    @Property(tries = 100, seed = FIXED_SEED)
+    void everyOfferedCallEndsInOneWay(@ForAll Random random) {
+        Admission admission = admission(random.nextInt(6), 0);
+        List<Call> calls = new ArrayList<>();
+        List<Call> open = new ArrayList<>();
+        for (int step = 0; step < 300; step++) {
+            now += MILLI;
+            Call call = open.isEmpty() || random.nextBoolean() ? null : open.get(random.nextInt(open.size()));
+            if (call == null) {
+                Call offered =
+                        new Call("p" + random.nextInt(4), 25, random.nextInt(3), now + random.nextInt(20) * MILLI);
+                calls.add(offered);
+                open.add(offered);
+                admission.offer(offered);
+            } else if (call.admitted) {
+                admission.released();
+                open.remove(call);
+            } else if (random.nextBoolean() && admission.cancel(call)) {
+                calls.remove(call);
+                open.remove(call);
+            }
+            admission.pump();
+            open.removeIf(one -> one.refused != null);
+            assertThat(admission.queued() == 0 || admission.inFlight() >= admission.limit(), is(true));
+            assertThat(open.stream().filter(one -> one.admitted).count(), is((long) admission.inFlight()));
+        }
+        for (Call call : calls) {
+            assertThat(call.admitted && call.refused != null, is(false));
+        }
+    }
+
+    /** Guards against a warm target that turns cold and keeps its full load. */
+    @Test
+    void suddenColdCollapsesTheLimit() {
+        ConcurrencyLimit limit = new ConcurrencyLimit(2, 12);
+        for (int i = 0; i < 100; i++) {
+            limit.answered("r", 2 * MILLI);
+        }
+        assertThat(limit.limit(), is(12));
+        for (int i = 0; i < 6; i++) {
+            limit.answered("r", 40 * MILLI);
+        }
+        assertThat(limit.limit(), is(1));
+        limit.answered("r", 2 * MILLI);
+        assertThat(limit.limit(), is(2));
+    }
+
+    /** Guards against a limit that collapses because two routes of one target differ in latency. */
+    @Test
+    void slowRouteBesideAFastOneIsNotCold() {
+        ConcurrencyLimit limit = new ConcurrencyLimit(2, 12);
+        for (int i = 0; i < 100; i++) {
+            limit.answered(i % 2 == 0 ? "fast" : "slow", i % 2 == 0 ? MILLI : 100 * MILLI);
+        }
+        assertThat(limit.limit(), is(12));
+    }
+
+    /** Guards against a target that became slower for good and is throttled for ever. */
+    @Test
+    void lastingSlownessIsAccepted() {
+        ConcurrencyLimit limit = new ConcurrencyLimit(2, 12);
+        for (int i = 0; i < 100; i++) {
+            limit.answered("r", 2 * MILLI);
+        }
+        for (int i = 0; i < 100; i++) {
+            limit.answered("r", 30 * MILLI);
+        }
+        assertThat(limit.limit(), is(12));
+    }
+
+    /** Guards against new work in a data centre that is out (I5), and against a return at full load. */
+    @Test
+    void outRefusesAtOnceAndReturnIsARamp() {
+        Admission admission = admission(64, 10_000);
+        for (int i = 0; i < 20; i++) {
+            admission.answered("r", MILLI);
+        }
+        assertThat(admission.limit(), is(Tables.SLOTS));
+        List<Call> calls = new ArrayList<>();
+        for (int i = 0; i < Tables.SLOTS + 2; i++) {
+            calls.add(offer(admission, "p"));
+        }
+        admission.adopt(Tables.table(Map.of("x", 100), 1, Set.of("a1"), true, Set.of()));
+        assertThat(calls.get(Tables.SLOTS).refused, is(RefusalReason.DATA_CENTRE_OUT));
+        assertThat(offer(admission, "p").refused, is(RefusalReason.DATA_CENTRE_OUT));
+        admission.adopt(Tables.table(Map.of("x", 100), 1, Set.of(), true, Set.of()));
+        int before = 0;
+        for (int second = 0; second <= 10; second++) {
+            assertThat(admission.limit(), greaterThanOrEqualTo(before));
+            assertThat(admission.limit(), lessThanOrEqualTo(Math.max(1, Tables.SLOTS * second / 10)));
+            before = admission.limit();
+            now += 1_000 * MILLI;
+        }
+        assertThat(admission.limit(), is(Tables.SLOTS));
+    }
+
+    /** Guards against new work at a draining target (I10) or a node that shuts down. */
+    @Test
+    void drainAndShutdownRefuseWhatWaits() {
+        Admission admission = admission(64, 0);
+        List<Call> calls = new ArrayList<>();
+        for (int i = 0; i < Tables.COLD + 1; i++) {
+            calls.add(offer(admission, "p"));
+        }
+        admission.targetDraining(true);
+        assertThat(calls.get(0).admitted, is(true));
+        assertThat(calls.get(Tables.COLD).refused, is(RefusalReason.DRAINING));
+        admission.targetDraining(false);
+        assertThat(offer(admission, "p").refused == null, is(true));
+        admission.shutDown();
+        assertThat(offer(admission, "p").refused, is(RefusalReason.DRAINING));
+        assertThat(calls, hasSize(Tables.COLD + 1));
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/admission/SuspectListTestCase.java
@@ -0,0 +1,110 @@
+package io.jaywick.core.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+
+import io.jaywick.core.message.SuspectEntry;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class SuspectListTestCase {
+
+    private static final String FIXED_SEED = "20261204";
+
+    private long now;
+
+    private SuspectList list(String region) {
+        return new SuspectList(region, () -> now);
+    }
+
+    /** Guards against one loss told by many peers that counts as many, and against two losses that count as one. */
+    @Test
+    void differentLossesAddUpOverNodes() {
+        SuspectList first = list("a");
+        SuspectList second = list("a");
+        first.crashed("f", "s1-1", Set.of());
+        first.entriesFor("a", 10).forEach(first::merge);
+        assertThat(first.isBlocked("f"), is(false));
+        second.crashed("f", "s2-1", Set.of());
+        second.entriesFor("a", 10).forEach(first::merge);
+        assertThat(first.isBlocked("f"), is(true));
+    }
+
+    /** Guards against an innocent request that is blocked after one loss, or blocked for ever. */
+    @Test
+    void oneLossBlocksNothingAndEntriesExpire() {
+        SuspectList list = list("a");
+        list.crashed("f", "s1-1", Set.of());
+        assertThat(list.isBlocked("f"), is(false));
+        list.crashed("f", "s1-2", Set.of());
+        assertThat(list.isBlocked("f"), is(true));
+        now += SuspectList.EXPIRY_MILLIS * 1_000_000;
+        assertThat(list.isBlocked("f"), is(false));
+        assertThat(list.entriesFor("a", 10), empty());
+    }
+
+    /** Guards against a suspect entry that leaves the home regions of its request (I6). */
+    @Test
+    void entriesStayInTheirHomeRegions() {
+        SuspectList list = list("a");
+        list.crashed("bound", "s1-1", Set.of("a"));
+        list.crashed("free", "s1-1", Set.of());
+        assertThat(list.entriesFor("a", 10), hasSize(2));
+        assertThat(list.entriesFor("b", 10), hasSize(1));
+        SuspectList other = list("b");
+        other.merge(new SuspectEntry("bound", List.of("x"), List.of("a"), 1_000));
+        assertThat(other.size(), is(0));
+    }
+
+    /** Guards against memory that grows with the number of lost requests, and against the loss of what is blocked. */
+    @Property(tries = 5, seed = FIXED_SEED)
+    void memoryIsBoundedAndBlockedOnesStay(@ForAll Random random) {
+        SuspectList list = list("a");
+        list.crashed("bad", "s1-1", Set.of());
+        list.crashed("bad", "s2-1", Set.of());
+        for (int i = 0; i < 6_000; i++) {
+            now += random.nextInt(1_000_000);
+            list.crashed("f" + i, "s" + i, Set.of());
+            assertThat(list.size(), lessThanOrEqualTo(SuspectList.MAX_ENTRIES));
+        }
+        assertThat(list.isBlocked("bad"), is(true));
+    }
+
+    /** Guards against several suspects at one target, whose second loss would blame the innocent. */
+    @Test
+    void laneRunsOneSuspectAtATime() {
+        SuspectLane lane = new SuspectLane();
+        List<Integer> ran = new ArrayList<>();
+        for (int i = 0; i < 3; i++) {
+            int call = i;
+            assertThat(lane.enter(() -> ran.add(call)), is(true));
+        }
+        assertThat(ran, is(List.of(0)));
+        lane.leave();
+        assertThat(ran, is(List.of(0, 1)));
+        lane.leave();
+        lane.leave();
+        assertThat(ran, is(List.of(0, 1, 2)));
+        assertThat(lane.enter(() -> ran.add(3)), is(true));
+        assertThat(ran, hasSize(4));
+    }
+
+    /** Guards against calls of one loss that count as several losses. */
+    @Test
+    void callsLostTogetherShareTheLoss() {
+        CrashEpisodes episodes = new CrashEpisodes("s");
+        String first = episodes.lost(10, 100);
+        assertThat(episodes.lost(20, 101), is(first));
+        assertThat(episodes.lost(99, 110), is(first));
+        assertThat(episodes.lost(105, 120).equals(first), is(false));
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/RetryPolicyTestCase.java
@@ -0,0 +1,112 @@
+package io.jaywick.core.retry;
+
+import io.jaywick.core.routing.RefusalReason;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+class RetryPolicyTestCase {
+
+    private static final String FIXED_SEED = "20261204";
+    private static final int LEVELS = 30;
+
+    private static int attempts(
+            RetryPolicy policy, String service, AttemptResult result, RefusalReason reason, boolean below) {
+        policy.firstAttempt(service);
+        int attempts = 1;
+        while (policy.shouldRetry(service, true, attempts, result, reason, below, 1)) {
+            attempts++;
+        }
+        return attempts;
+    }
+
+    /** Guards against retries that multiply over 30 levels when every leaf fails; three retries a level would. */
+    @Property(tries = 20, seed = FIXED_SEED)
+    void amplificationStaysBelow120Percent(
+            @ForAll @IntRange(min = 100, max = 400) int requests, @ForAll boolean leafFails) {
+        RetryPolicy[] levels = new RetryPolicy[LEVELS];
+        for (int level = 0; level < LEVELS; level++) {
+            levels[level] = new RetryPolicy();
+        }
+        long made = 0;
+        double naiveMade = 0;
+        for (int request = 0; request < requests; request++) {
+            made += call(levels, 0, leafFails ? AttemptResult.SHED : AttemptResult.NOT_RUN);
+            naiveMade += Math.pow(4, LEVELS);
+        }
+        double asked = (double) requests * LEVELS;
+        assertThat(made / asked, lessThan(1.2));
+        assertThat(naiveMade / asked, greaterThan(1.2));
+    }
+
+    /** Guards against amplification of a flat tree, in which every call is a leaf. */
+    @Property(tries = 20, seed = FIXED_SEED)
+    void budgetHoldsOneLevelBelow120Percent(@ForAll AttemptResult result) {
+        RetryPolicy policy = new RetryPolicy();
+        int made = 0;
+        for (int call = 0; call < 1_000; call++) {
+            made += attempts(policy, "s", result, RefusalReason.OVERLOADED, false);
+        }
+        assertThat(made / 1_000.0, lessThan(1.2));
+    }
+
+    private static long call(RetryPolicy[] levels, int level, AttemptResult leaf) {
+        levels[level].firstAttempt("s" + level);
+        long made = 0;
+        boolean isLeaf = level == LEVELS - 1;
+        int attempt = 0;
+        do {
+            attempt++;
+            made += 1 + (isLeaf ? 0 : call(levels, level + 1, leaf));
+        } while (levels[level].shouldRetry(
+                "s" + level, true, attempt, isLeaf ? leaf : AttemptResult.SHED, RefusalReason.OVERLOADED, !isLeaf, 1));
+        return made;
+    }
+
+    /** Guards against a non-idempotent call that is sent again although it may have run (I9). */
+    @Test
+    void onlyProvablyNotRunCallsAreSentAgain() {
+        for (AttemptResult result : AttemptResult.values()) {
+            boolean again = new RetryPolicy().shouldRetry("s", false, 1, result, RefusalReason.DRAINING, false, 1);
+            assertThat(result.name(), again, is(result.provesNotRun()));
+        }
+    }
+
+    /** Guards against retries of refusals that hold everywhere, and against retries after the deadline. */
+    @Test
+    void finalRefusalsAndPassedDeadlinesAreNotRetried() {
+        for (RefusalReason reason : RefusalReason.values()) {
+            boolean again = new RetryPolicy().shouldRetry("s", true, 1, AttemptResult.NOT_RUN, reason, false, 1);
+            assertThat(reason.name(), again, is(reason.mayBeAcceptedElsewhere()));
+        }
+        assertThat(new RetryPolicy().shouldRetry("s", true, 1, AttemptResult.NOT_SENT, null, false, 0), is(false));
+    }
+
+    /** Guards against a quiet budget that blocks the move of the calls in flight at a leaving data centre. */
+    @Test
+    void savedBudgetMovesRefusedCallsButNotLostOnes() {
+        RetryPolicy policy = new RetryPolicy();
+        for (int call = 0; call < 1_000; call++) {
+            policy.firstAttempt("s");
+        }
+        int moved = 0;
+        while (policy.shouldRetry("s", true, 1, AttemptResult.NOT_RUN, RefusalReason.DATA_CENTRE_OUT, false, 1)) {
+            moved++;
+        }
+        assertThat(moved, is(50));
+        for (int call = 0; call < 1_000; call++) {
+            policy.firstAttempt("s");
+        }
+        int repeated = 0;
+        while (policy.shouldRetry("s", true, 1, AttemptResult.LOST, null, false, 1)) {
+            repeated++;
+        }
+        assertThat(repeated, is(3));
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/routing/NaiveRouter.java
@@ -0,0 +1,42 @@
+package io.jaywick.core.routing;
+
+import java.util.List;
+import java.util.Random;
+
+import io.jaywick.core.snapshot.DataCentre;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Service;
+import io.jaywick.core.snapshot.WeightedService;
+
+/** Naive version: a random service by weight, targets by round robin, eligible data centres only. */
+final class NaiveRouter {
+
+    private final Random random;
+    private int next;
+
+    NaiveRouter(Random random) {
+        this.random = random;
+    }
+
+    Service service(List<WeightedService> services) {
+        int left = random.nextInt(100);
+        for (WeightedService weighted : services) {
+            left -= weighted.weightPercent();
+            if (left < 0) {
+                return weighted.service();
+            }
+        }
+        throw new IllegalStateException("weights below 100");
+    }
+
+    Server target(Service service) {
+        List<Server> in = service.servers().stream()
+                .filter(server -> isIn(server.dataCentre()))
+                .toList();
+        return in.isEmpty() ? null : in.get(next++ % in.size());
+    }
+
+    private static boolean isIn(DataCentre dataCentre) {
+        return dataCentre.in();
+    }
+}
