--- a/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
@@ -16,6 +16,12 @@
     /** Fewer calls than this in the short window say little about the rate. */
     private static final long SHORT_MINIMUM = 4;
 
+    /**
+     * From this many calls in a window on, an eighth of it with less than half the rate means that demand has fallen:
+     * of 32 expected random arrivals, fewer than 16 come once in a thousand times.
+     */
+    private static final long STEADY_MINIMUM = 256;
+
     private final WindowCounter longWindow;
     private final WindowCounter shortWindow;
 
@@ -36,16 +42,26 @@
         shortWindow.resize(windowNanos / SHORT_PARTS, nowNanos);
     }
 
-    /** Calls wanted per window with a quarter of headroom, at most the limit. */
+    /** Calls per window to keep quota for, with a quarter of headroom, at most the limit. */
+    int keptCalls(int limitCalls, long nowNanos) {
+        long demand = longWindow.count(nowNanos);
+        return withHeadroom(Math.max(demand, recentCalls(nowNanos)), limitCalls);
+    }
+
+    /** Calls per window wanted now, with a quarter of headroom; falls below the kept calls when demand falls. */
     int wantedCalls(int limitCalls, long nowNanos) {
         long demand = longWindow.count(nowNanos);
+        long recent = recentCalls(nowNanos);
+        boolean fallen = demand >= STEADY_MINIMUM && recent < demand / 2;
+        return withHeadroom(fallen ? recent : Math.max(demand, recent), limitCalls);
+    }
+
+    private long recentCalls(long nowNanos) {
         long recent = shortWindow.count(nowNanos);
-        if (recent >= SHORT_MINIMUM) {
-            demand = Math.max(demand, recent * SHORT_PARTS);
-        }
-        if (demand == 0) {
-            return 0;
-        }
-        return (int) Math.min(limitCalls, demand + demand / 4 + 1);
+        return recent >= SHORT_MINIMUM ? recent * SHORT_PARTS : 0;
+    }
+
+    private static int withHeadroom(long demand, int limitCalls) {
+        return demand == 0 ? 0 : (int) Math.min(limitCalls, demand + demand / 4 + 1);
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
@@ -93,19 +93,28 @@
         }
         int committed = line.granted + takeReclaimed(line, nowNanos);
         int held = Math.max(0, Math.min(request.heldCalls(), committed));
-        rest(committed - held, nowNanos);
+        int released = committed - held;
+        // The receiver knows which calls it left unused only when it has seen the last answer.
+        boolean sameView = line.requestId == request.answeredId();
+        int idle = sameView ? Math.max(0, Math.min(request.idleCalls(), released)) : 0;
+        rest(released - idle, nowNanos);
         line.granted = held;
-        line.wanted = Math.max(held, request.wantCalls());
+        line.wanted = Math.max(0, request.wantCalls());
         return grant(line, request.requestId(), own, windowNanos, nowNanos);
     }
 
     private Decision grant(Line line, long requestId, Own own, long windowNanos, long nowNanos) {
         int held = line.granted;
         int fair = fairCalls(own.share, own.want);
-        int target = Math.min(line.wanted, Math.max(0, fair));
+        int target = Math.min(line.wanted, fair);
         int calls;
         int ready = 0;
         if (target < held) {
+            // Quota that nobody else lacks stays with the receiver, whose next burst may need it.
+            target = (int) Math.max(target, Math.min(held, held - lacking(line, own, fair, windowNanos, nowNanos)));
+            if (target == held) {
+                return answer(line, requestId, held, 0, nowNanos);
+            }
             // The receiver may miss the answer and use all that it held until the end of its last grant.
             line.reclaimed = held - target;
             line.reclaimedEndNanos = line.endNanos;
@@ -121,6 +130,10 @@
             takeResting(increase - ready, nowNanos);
             calls = held + increase;
         }
+        return answer(line, requestId, calls, ready, nowNanos);
+    }
+
+    private Decision answer(Line line, long requestId, int calls, int ready, long nowNanos) {
         line.granted = calls;
         line.requestId = requestId;
         line.endNanos = nowNanos + LimitTiming.stretch(periodNanos);
@@ -128,6 +141,18 @@
         return line.decision;
     }
 
+    /** Calls that the holder and the other receivers are entitled to and cannot get without taking from this one. */
+    private long lacking(Line except, Own own, int fair, long windowNanos, long nowNanos) {
+        int free = free(own.share, windowNanos, nowNanos);
+        long lacking = Math.min(own.want, fair) - free - grantableResting(nowNanos);
+        for (Line line : lines.values()) {
+            if (line != except) {
+                lacking += Math.max(0, Math.min(line.wanted, fair) - line.granted);
+            }
+        }
+        return Math.max(0, Math.max(lacking, overdrawn(own.share)));
+    }
+
     /** Calls that were granted beyond a share that has shrunk since. */
     private long overdrawn(int share) {
         long taken = 0;
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
@@ -185,7 +185,7 @@
                 continue;
             }
             long requestId = requestIds.incrementAndGet();
-            int held = state.send(ask, requestId, nowNanos);
+            ReceiverLine line = state.send(ask, requestId, nowNanos);
             QuotaRequest request = new QuotaRequest(
                     options.server(),
                     options.incarnation(),
@@ -194,7 +194,9 @@
                     current.revision(),
                     ask.wantCalls(),
                     options.grantMillis(),
-                    held);
+                    line.held(nowNanos),
+                    line.idleReleased(),
+                    line.answeredId());
             outgoing.add(new Outgoing(ask.holder(), address, request));
         }
     }
@@ -244,6 +246,8 @@
                 snapshot.revision(),
                 0,
                 options.grantMillis(),
+                0,
+                0,
                 0);
         addresses.peerAddress(peer).ifPresent(address -> link.request(address, probe)
                 .whenComplete((reply, failure) -> learnSettled(reply)));
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
@@ -123,7 +123,7 @@
 
     void accept(String holder, QuotaGrant grant, long nowNanos) {
         ReceiverLine line = lines.get(holder);
-        if (line != null && line.accept(grant, windowNanos(), nowNanos)) {
+        if (line != null && line.accept(grant, idleCalls(nowNanos), windowNanos(), nowNanos)) {
             quotaUntilNanos = Long.MIN_VALUE;
         }
     }
@@ -142,39 +142,51 @@
      * @param shareOf base share of a holder, zero for one that cannot be reached
      */
     List<Ask> plan(List<String> holders, ToIntFunction<String> shareOf, long nowNanos) {
-        int wanted = demand.wantedCalls(limitCalls, nowNanos);
-        if (wanted == 0 && lines.isEmpty()) {
+        int kept = demand.keptCalls(limitCalls, nowNanos);
+        if (kept == 0 && lines.isEmpty()) {
             return List.of();
         }
-        int remaining = wanted - Math.min(wanted, ledger.free(share, windowNanos(), nowNanos));
+        int free = ledger.free(share, windowNanos(), nowNanos);
+        int remaining = Math.max(0, demand.wantedCalls(limitCalls, nowNanos) - free);
+        int remainingKept = Math.max(0, kept - free);
         List<Ask> asks = new ArrayList<>();
-        Map<String, Integer> wants = new LinkedHashMap<>();
+        Map<String, Ask> wants = new LinkedHashMap<>();
         for (String holder : holders) {
-            int want = Math.min(remaining, shareOf.applyAsInt(holder));
-            if (want > 0) {
+            int available = remainingKept == 0 ? 0 : shareOf.applyAsInt(holder);
+            int want = Math.min(remaining, available);
+            int keep = Math.min(remainingKept, available);
+            if (keep > 0) {
                 ReceiverLine line = lines.computeIfAbsent(holder, name -> new ReceiverLine(periodNanos));
-                wants.put(holder, want);
+                wants.put(holder, new Ask(holder, want, keep));
                 remaining -= line.expected(want);
+                remainingKept -= line.expected(keep);
             }
         }
         Iterator<Map.Entry<String, ReceiverLine>> iterator = lines.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, ReceiverLine> entry = iterator.next();
             ReceiverLine line = entry.getValue();
-            int want = wants.getOrDefault(entry.getKey(), 0);
-            if (line.isDue(want, line.held(nowNanos), windowNanos(), nowNanos)) {
-                asks.add(new Ask(entry.getKey(), want));
-            } else if (want == 0 && line.isIdle(nowNanos)) {
+            Ask ask = wants.getOrDefault(entry.getKey(), new Ask(entry.getKey(), 0, 0));
+            if (line.isDue(ask.wantCalls(), windowNanos(), nowNanos)) {
+                asks.add(ask);
+            } else if (ask.keptCalls() == 0 && line.isIdle(nowNanos)) {
                 iterator.remove();
             }
         }
         return asks;
     }
 
-    /** Records a request that is about to be sent and returns the calls still held of the holder's grant. */
-    int send(Ask ask, long requestId, long nowNanos) {
+    /** Records a request that is about to be sent and returns its line. */
+    ReceiverLine send(Ask ask, long requestId, long nowNanos) {
+        ReceiverLine line = lines.get(ask.holder());
+        line.send(requestId, ask.wantCalls(), ask.keptCalls(), idleCalls(nowNanos), nowNanos);
         quotaUntilNanos = Long.MIN_VALUE;
-        return lines.get(ask.holder()).send(requestId, ask.wantCalls(), nowNanos);
+        return line;
+    }
+
+    /** Calls of the quota that no call of the last window needed. */
+    private long idleCalls(long nowNanos) {
+        return Math.max(0, quota(nowNanos) - used.count(nowNanos));
     }
 
     /** Marks the state as unused when nothing of it can matter any more. */
@@ -196,6 +208,6 @@
         return LimitTiming.windowNanos(windowMillis);
     }
 
-    /** A request to send. */
-    record Ask(String holder, int wantCalls) {}
+    /** A request to send, with the calls that the node keeps in any case. */
+    record Ask(String holder, int wantCalls, int keptCalls) {}
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
@@ -18,6 +18,12 @@
     private static final long MAX_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final int TRIES_PER_PERIOD = 10;
 
+    /** Shortest time between two requests to one holder. */
+    private static final long MIN_PACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private static final int PACES_PER_WINDOW = 8;
+    private static final int MAX_DOUBLINGS = 16;
+
     private final long periodNanos;
     private final Deque<Step> steps = new ArrayDeque<>();
     private int ready;
@@ -29,6 +35,10 @@
     private boolean everSent;
 
     private boolean answered;
+    private boolean confirmDue;
+    private long answeredId;
+    private int idleReleased;
+    private int fruitless;
     private int lastWanted;
     private int lastGranted;
 
@@ -39,6 +49,7 @@
     /** Calls usable now. */
     int usable(long nowNanos) {
         if (nowNanos >= endNanos) {
+            idleReleased = 0;
             ready = 0;
             steps.clear();
             return 0;
@@ -72,58 +83,80 @@
     }
 
     /** Tells whether a request that asks for this many calls is due. */
-    boolean isDue(int wanted, int held, long windowNanos, long nowNanos) {
-        if (!everSent) {
-            return wanted > 0;
-        }
-        long age = nowNanos - sentNanos;
-        if (pending) {
-            return age >= timeoutNanos() && (wanted > 0 || held > 0);
-        }
-        if (wanted == 0 && held == 0) {
+    boolean isDue(int wanted, long windowNanos, long nowNanos) {
+        int held = held(nowNanos);
+        long age = everSent ? nowNanos - sentNanos : Long.MAX_VALUE;
+        if (wanted == 0 && held == 0 && idleReleased == 0 && !confirmDue) {
             return false;
         }
-        if (!answered) {
+        if (pending || !answered) {
             return age >= timeoutNanos();
         }
-        boolean lacking = lastGranted < lastWanted;
+        if (age >= periodNanos / 2 || confirmDue) {
+            return true;
+        }
+        long pace = Math.max(MIN_PACE_NANOS, windowNanos / PACES_PER_WINDOW);
         boolean more = wanted > lastWanted + lastWanted / 8 && wanted > held;
-        boolean less = wanted < held - Math.max(1, held / 4) || wanted == 0;
-        return age >= periodNanos / 2
-                || (more && age >= timeoutNanos())
-                || (lacking
-                        && wanted > held
-                        && age >= Math.max(timeoutNanos(), Math.min(periodNanos / 2, windowNanos / 2)))
-                || (less && age >= timeoutNanos());
+        boolean less = wanted < held - Math.max(1, held / 4) && wanted < lastWanted;
+        if (more || less) {
+            return age >= pace;
+        }
+        boolean lacking = wanted > held && lastGranted < lastWanted;
+        boolean surplus = wanted < held - Math.max(1, held / 4);
+        return (lacking || surplus) && age >= Math.min(pace << Math.min(fruitless, MAX_DOUBLINGS), periodNanos / 4);
     }
 
-    /** Lowers the use to what the request asks for, and remembers the request. Returns the calls still held. */
-    int send(long id, int wanted, long nowNanos) {
-        trim(wanted, nowNanos);
+    /**
+     * Lowers the use to what is to be kept, and remembers the request.
+     *
+     * @param idleBudget calls of the node's quota that were unused for a window
+     */
+    void send(long id, int wanted, int kept, long idleBudget, long nowNanos) {
+        int held = held(nowNanos);
+        if (kept < held - Math.max(1, held / 4) || kept == 0) {
+            trim(kept, idleBudget, nowNanos);
+        }
+        boolean changed = Math.abs(wanted - lastWanted) > Math.max(1, lastWanted / 8);
+        fruitless = changed ? 0 : fruitless + 1;
         pending = true;
         answered = false;
+        confirmDue = false;
         requestId = id;
         sentNanos = nowNanos;
         everSent = true;
         lastWanted = wanted;
-        return held(nowNanos);
+    }
+
+    /** Calls released since the last answer that were unused for a window when they were released. */
+    int idleReleased() {
+        return idleReleased;
+    }
+
+    /** Identifier of the request whose answer was taken last. */
+    long answeredId() {
+        return answeredId;
     }
 
     /** Takes the answer to the newest request; any other answer is ignored. */
-    boolean accept(QuotaGrant grant, long windowNanos, long nowNanos) {
+    boolean accept(QuotaGrant grant, long idleBudget, long windowNanos, long nowNanos) {
         if (!pending || grant.requestId() != requestId) {
             return false;
         }
         pending = false;
         answered = true;
+        answeredId = requestId;
+        idleReleased = 0;
         lastGranted = grant.calls();
         int held = held(nowNanos);
         long period = Math.min(periodNanos, TimeUnit.MILLISECONDS.toNanos(grant.periodMillis()));
         endNanos = sentNanos + period;
         if (grant.calls() <= held) {
-            trim(grant.calls(), nowNanos);
+            // The holder can lend the calls to others only after it hears that they are not in use.
+            confirmDue = grant.calls() < held;
+            trim(grant.calls(), idleBudget, nowNanos);
             return true;
         }
+        fruitless = 0;
         int increase = grant.calls() - held;
         int immediate = Math.max(0, Math.min(increase, grant.readyCalls()));
         ready += immediate;
@@ -144,9 +177,10 @@
         return !pending && held(nowNanos) == 0 && nowNanos - sentNanos > periodNanos;
     }
 
-    private void trim(int calls, long nowNanos) {
+    private void trim(int calls, long idleBudget, long nowNanos) {
         int excess = held(nowNanos) - calls;
         while (excess > 0 && !steps.isEmpty()) {
+            // A waiting increase may have been used by another node within the window, so it is not idle.
             Step last = steps.pollLast();
             int taken = Math.min(excess, last.calls);
             excess -= taken;
@@ -156,6 +190,7 @@
         }
         if (excess > 0) {
             ready -= excess;
+            idleReleased += (int) Math.max(0, Math.min(idleBudget, excess));
         }
     }
 
