--- a/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
@@ -24,6 +24,7 @@
 
     private final WindowCounter longWindow;
     private final WindowCounter shortWindow;
+    private boolean fallen;
 
     DemandMeter(long windowMillis) {
         long windowNanos = TimeUnit.MILLISECONDS.toNanos(windowMillis);
@@ -52,7 +53,7 @@
     int wantedCalls(int limitCalls, long nowNanos) {
         long demand = longWindow.count(nowNanos);
         long recent = recentCalls(nowNanos);
-        boolean fallen = demand >= STEADY_MINIMUM && recent < demand / 2;
+        fallen = recent < demand / 2 && (fallen || demand >= STEADY_MINIMUM);
         return withHeadroom(fallen ? recent : Math.max(demand, recent), limitCalls);
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/LimitTiming.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/LimitTiming.java
@@ -13,7 +13,7 @@
     private static final long DRIFT_DIVISOR = 1_000;
 
     /** Part of the window by which every window is lengthened, for a process that pauses between check and use. */
-    private static final long GUARD_DIVISOR = 50;
+    private static final long GUARD_DIVISOR = 100;
 
     private static final long MIN_GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
     private static final long MAX_GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
@@ -86,7 +86,7 @@
     boolean isDue(int wanted, long windowNanos, long nowNanos) {
         int held = held(nowNanos);
         long age = everSent ? nowNanos - sentNanos : Long.MAX_VALUE;
-        if (wanted == 0 && held == 0 && idleReleased == 0 && !confirmDue) {
+        if (wanted == 0 && held == 0 && idleReleased == 0 && !confirmDue && lastWanted == 0) {
             return false;
         }
         if (pending || !answered) {
@@ -97,7 +97,9 @@
         }
         long pace = Math.max(MIN_PACE_NANOS, windowNanos / PACES_PER_WINDOW);
         boolean more = wanted > lastWanted + lastWanted / 8 && wanted > held;
-        boolean less = wanted < held - Math.max(1, held / 4) && wanted < lastWanted;
+        // The holder keeps quota back for a receiver that it believes to want more.
+        boolean gone = wanted == 0 && lastWanted > 0;
+        boolean less = gone || wanted < held - Math.max(1, held / 4) && wanted < lastWanted;
         if (more || less) {
             return age >= pace;
         }
