--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -1,9 +1,14 @@
 package io.jaywick.cli;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.List;
 
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
+import io.jaywick.cli.check.CheckCommand;
+import io.jaywick.cli.check.GenerateCommand;
+import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.report.ReportCommand;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -20,6 +25,12 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new BenchLimitsCommand());
+        List<Command> commands = new ArrayList<>();
+        commands.add(new BenchLimitsCommand());
+        commands.add(new CheckCommand());
+        commands.add(new GenerateCommand());
+        commands.add(new PackCommand());
+        commands.add(new ReportCommand());
+        return commands;
     }
 }
