--- a/jaywick-cli/src/main/java/io/jaywick/cli/status/StatusCommand.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/status/StatusCommand.java
@@ -112,10 +112,7 @@
         if (rejected.isObject()) {
             out.println("lastRejected: revision " + rejected.path("revision"));
             for (JsonNode problem : rejected.path("problems")) {
-                out.println("  " + problem.path("sheet").asText() + " row " + problem.path("row") + " "
-                        + problem.path("column").asText() + ": "
-                        + problem.path("message").asText() + " ["
-                        + problem.path("type").asText() + "]");
+                out.println("  " + problem.asText());
             }
         }
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -12,6 +12,7 @@
 import io.jaywick.core.limits.LimiterOptions;
 import io.jaywick.core.limits.PartyLimiter;
 import io.jaywick.core.membership.Member;
+import io.jaywick.core.message.Laggard;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerEntry;
 import io.jaywick.core.message.PeerLink;
@@ -23,6 +24,9 @@
 import io.jaywick.core.settings.ListenSettings;
 import io.jaywick.core.settings.NodeSettings;
 import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.node.admin.AdminServer;
+import io.jaywick.node.admin.AdminViews;
+import io.jaywick.node.admin.NodeStatus;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.peer.DistributionConfig;
 import io.jaywick.node.peer.DistributionService;
@@ -66,6 +70,8 @@
     private final PartyLimiter limiter;
     private final UsageRecordWriter record;
     private final NodeEnvironment environment;
+    private final AdminServer admin;
+    private final long startNanos = System.nanoTime();
     private Disposable limitTimer = Disposables.disposed();
 
     /** Binds the ports. The node takes part in the fleet after {@link #start}. */
@@ -138,6 +144,15 @@
                 new TableCheck(),
                 suspects());
         members.set(distribution.membership());
+        this.admin = new AdminServer(
+                SocketAddressParser.parse(listen.adminAddress()),
+                new AdminViews(
+                        () -> true,
+                        () -> snapshot() != null,
+                        this::nodeStatus,
+                        () -> fleetStatus().thenApply(Node::fleetView),
+                        meters::scrape,
+                        record::currentLines));
         meters.gauge(
                 "jaywick_revision", distribution, service -> service.status().revision());
         meters.gauge(
@@ -214,6 +229,10 @@
         return bound(listen.ingressAddress(), proxy.ingress().port());
     }
 
+    public String adminAddress() {
+        return bound(listen.adminAddress(), admin.address().getPort());
+    }
+
     private static String bound(String address, int port) {
         return address.substring(0, address.lastIndexOf(':') + 1) + port;
     }
@@ -246,6 +265,37 @@
         }
     }
 
+    private NodeStatus nodeStatus() {
+        DistributionStatus status = distribution.status();
+        NodeStatus.Rejected rejected = status.rejected() == null
+                ? null
+                : new NodeStatus.Rejected(
+                        status.rejected().revision(),
+                        status.rejected().hash(),
+                        status.rejected().problems());
+        NodeStatus.SourceBehind behind =
+                status.source() != null && status.source().behind()
+                        ? new NodeStatus.SourceBehind(status.source().revision(), status.revision())
+                        : null;
+        return new NodeStatus(
+                identity.server(),
+                status.revision(),
+                status.hash(),
+                rejected,
+                behind,
+                status.conflicts(),
+                status.alive(),
+                TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+    }
+
+    private static io.jaywick.node.admin.FleetStatus fleetView(FleetStatus fleet) {
+        List<io.jaywick.node.admin.FleetStatus.FleetLaggard> laggards = new ArrayList<>();
+        for (Laggard laggard : fleet.laggards()) {
+            laggards.add(new io.jaywick.node.admin.FleetStatus.FleetLaggard(laggard.server(), laggard.revision()));
+        }
+        return new io.jaywick.node.admin.FleetStatus(fleet.revision(), fleet.inForce(), fleet.servers(), laggards);
+    }
+
     private List<PeerHead> peerHeads(DeferredMembership members) {
         List<PeerHead> heads = new ArrayList<>();
         for (Member member : members.members()) {
@@ -271,6 +321,7 @@
     }
 
     private void closeAfterProxy() {
+        admin.close();
         limitTimer.dispose();
         record.close();
         distribution.close();
--- a/jaywick-node/src/main/java/io/jaywick/node/TableCheck.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/TableCheck.java
@@ -38,7 +38,7 @@
                 problems.add("and " + (verdict.problems().size() - MAX_PROBLEMS) + " more");
                 break;
             }
-            problems.add(problem.toString());
+            problems.add(problem.line());
         }
         return CheckedVersion.rejected(verdict.hash().hex(), problems);
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/admin/NodeStatus.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/admin/NodeStatus.java
@@ -2,8 +2,6 @@
 
 import java.util.List;
 
-import io.jaywick.core.table.TableProblem;
-
 /**
  * State of a node as {@code GET /status} shows it.
  *
@@ -24,8 +22,8 @@
         int peers,
         long uptimeMillis) {
 
-    /** A version that the verdict rejected. */
-    public record Rejected(long revision, String hash, List<TableProblem> problems) {}
+    /** A version that the verdict rejected, with one line per problem. */
+    public record Rejected(long revision, String hash, List<String> problems) {}
 
     /** The revisions of the source and of the node. */
     public record SourceBehind(long sourceRevision, long activeRevision) {}
