--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -41,6 +41,7 @@
 import io.jaywick.node.proxy.ProxyContext;
 import io.jaywick.node.proxy.ProxyServer;
 import io.jaywick.node.record.UsageRecordWriter;
+import io.jaywick.node.settings.SocketAddressParser;
 import io.jaywick.node.trace.Tracing;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
