Add the demonstration of a whole fleet

Cause: one command should show an edit become the rule on every node and calls obey it. Change: jaywick demo runs a fleet of 18 nodes with targets, the platform's stand-ins and callers in one process; an observer compares what callers were told with what targets ran.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -8,6 +8,7 @@
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.status.StatusCommand;
 
@@ -29,6 +30,7 @@
         List<Command> commands = new ArrayList<>();
         commands.add(new BenchLimitsCommand());
         commands.add(new CheckCommand());
+        commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoCallers.java
@@ -0,0 +1,108 @@
+package io.jaywick.cli.demo;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.jaywick.node.proxy.CallHeaders;
+import io.jaywick.standin.target.TargetServer;
+import io.netty.handler.codec.http.HttpMethod;
+import reactor.core.Disposable;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.resources.ConnectionProvider;
+
+/** Callers in each region. They send to the egress ports of the region's nodes and keep what they were told. */
+final class DemoCallers implements AutoCloseable {
+
+    private static final Duration SPACING = Duration.ofMillis(8);
+    private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
+    private static final int WRITE_EVERY = 4;
+
+    /** What a caller was told of one call. */
+    record Told(String outcome, String reason, int status, boolean write, boolean ownAnswer) {}
+
+    private final FleetProfile profile;
+    private final Map<String, List<DemoFleet.Place>> byRegion = new HashMap<>();
+    private final ConnectionProvider connections = ConnectionProvider.create("callers", 200);
+    private final HttpClient client = HttpClient.create(connections).responseTimeout(CALL_TIMEOUT);
+    private final Map<String, Told> told = new ConcurrentHashMap<>();
+    private final AtomicLong sent = new AtomicLong();
+    private final AtomicLong open = new AtomicLong();
+    private final List<Disposable> streams = new ArrayList<>();
+
+    DemoCallers(FleetProfile profile, List<DemoFleet.Place> places) {
+        this.profile = profile;
+        for (DemoFleet.Place place : places) {
+            byRegion.computeIfAbsent(place.server().dataCentre().region(), region -> new ArrayList<>())
+                    .add(place);
+        }
+    }
+
+    /** Starts a stream of calls in each region. */
+    void start() {
+        for (Map.Entry<String, List<DemoFleet.Place>> region : byRegion.entrySet()) {
+            Random random = new Random(region.getKey().hashCode());
+            streams.add(Flux.interval(SPACING)
+                    .onBackpressureDrop()
+                    .flatMap(number -> call(region.getKey(), region.getValue(), number, random), 256)
+                    .subscribe());
+        }
+    }
+
+    private Mono<Void> call(String region, List<DemoFleet.Place> places, long number, Random random) {
+        String id = region + "-" + number;
+        boolean write = number % WRITE_EVERY == 0;
+        String party = profile.parties().get(random.nextInt(profile.parties().size()));
+        DemoFleet.Place place = places.get(random.nextInt(places.size()));
+        sent.incrementAndGet();
+        open.incrementAndGet();
+        return client.headers(headers -> headers.set(CallHeaders.PARTY, party)
+                        .set(CallHeaders.CALL_ID, id)
+                        .set(TargetServer.REQUEST, id))
+                .request(write ? HttpMethod.POST : HttpMethod.GET)
+                .uri("http://" + place.node().egressAddress() + (write ? profile.writePath() : profile.readPath()))
+                .responseSingle((response, body) -> body.asString()
+                        .defaultIfEmpty("")
+                        .map(text -> new Told(
+                                response.responseHeaders().get(CallHeaders.OUTCOME, ""),
+                                response.responseHeaders().get(CallHeaders.REASON, ""),
+                                response.status().code(),
+                                write,
+                                text.contains(" " + id + " "))))
+                .onErrorResume(failure -> Mono.just(new Told("", failure.toString(), 0, write, false)))
+                .doOnNext(answer -> told.put(id, answer))
+                .doFinally(signal -> open.decrementAndGet())
+                .then();
+    }
+
+    /** Stops sending. */
+    void stop() {
+        streams.forEach(Disposable::dispose);
+    }
+
+    boolean isIdle() {
+        return open.get() == 0;
+    }
+
+    /** What the callers were told, by request id. */
+    Map<String, Told> told() {
+        return told;
+    }
+
+    long sent() {
+        return sent.get();
+    }
+
+    @Override
+    public void close() {
+        stop();
+        connections.dispose();
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/FleetProfile.java
@@ -0,0 +1,82 @@
+package io.jaywick.cli.demo;
+
+import java.util.List;
+
+import io.jaywick.cli.UsageException;
+
+/**
+ * One of the users' fleets with the edits that the demonstration makes. See docs/design.md, section 1.
+ *
+ * @param sourceRegion region in which the configuration service stands
+ * @param betweenDataCentresMicros one-way latency
+ * @param betweenRegionsMicros one-way latency
+ * @param readPath path of an idempotent route
+ * @param writePath path of a route that is not idempotent
+ * @param outDataCentre row of the data centre that is taken out, without its state
+ * @param goodEdits accepted edits
+ * @param badEdit an edit whose weights add up to 101
+ * @param parties parties of the callers
+ */
+record FleetProfile(
+        String name,
+        String sourceRegion,
+        long betweenDataCentresMicros,
+        long betweenRegionsMicros,
+        String readPath,
+        String writePath,
+        String outDataCentre,
+        List<TableEdit> goodEdits,
+        TableEdit badEdit,
+        List<String> parties) {
+
+    static final FleetProfile TARFUR = new FleetProfile(
+            "tarfur",
+            "sudurland",
+            1_500,
+            12_000,
+            "/catalogue/search",
+            "/bookings",
+            "akureyri,nordurland",
+            List.of(
+                    new TableEdit("routes", ",catalogue,85,", ",catalogue,70,", ",herdbook,15,", ",herdbook,30,"),
+                    new TableEdit("parties", "vets,400,", "vets,450,"),
+                    new TableEdit("routes", ",true,1000,,30", ",true,1200,,30")),
+            new TableEdit("routes", ",catalogue,70,", ",catalogue,71,"),
+            List.of("herd-keepers", "vets", "clerks"));
+
+    static final FleetProfile MAGNOLIA = new FleetProfile(
+            "magnolia",
+            "gulf",
+            1_000,
+            12_000,
+            "/catalog/suggest",
+            "/reservations",
+            "charlotte,piedmont",
+            List.of(
+                    new TableEdit("routes", ",catalog,70,", ",catalog,60,", ",inventory,30,", ",inventory,40,"),
+                    new TableEdit("parties", "volunteers,400,", "volunteers,450,"),
+                    new TableEdit("routes", ",true,1500,,40", ",true,1800,,40")),
+            new TableEdit("routes", ",catalog,60,", ",catalog,61,"),
+            List.of("teachers", "volunteers", "night-staff"));
+
+    static FleetProfile byName(String name) {
+        return switch (name) {
+            case "tarfur" -> TARFUR;
+            case "magnolia" -> MAGNOLIA;
+            default -> throw new UsageException("--fleet '" + name + "' is not tarfur or magnolia");
+        };
+    }
+
+    /** Name of the data centre that is taken out. */
+    String outDataCentreName() {
+        return outDataCentre.substring(0, outDataCentre.indexOf(','));
+    }
+
+    TableEdit takeOut() {
+        return new TableEdit("data-centres", outDataCentre + ",in", outDataCentre + ",out");
+    }
+
+    TableEdit bringBack() {
+        return new TableEdit("data-centres", outDataCentre + ",out", outDataCentre + ",in");
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/TableEdit.java
@@ -0,0 +1,28 @@
+package io.jaywick.cli.demo;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Replacement of texts in one sheet, as an operator would make it in a spreadsheet. */
+record TableEdit(String sheet, List<String> texts) {
+
+    TableEdit(String sheet, String... texts) {
+        this(sheet, List.of(texts));
+    }
+
+    /** Returns the sheets with the edit; each text must stand in the sheet. */
+    Map<String, byte[]> applyTo(Map<String, byte[]> sheets) {
+        String text = new String(sheets.get(sheet), StandardCharsets.UTF_8);
+        for (int i = 0; i < texts.size(); i += 2) {
+            if (!text.contains(texts.get(i))) {
+                throw new IllegalStateException("sheet " + sheet + " has no '" + texts.get(i) + "'");
+            }
+            text = text.replace(texts.get(i), texts.get(i + 1));
+        }
+        Map<String, byte[]> edited = new LinkedHashMap<>(sheets);
+        edited.put(sheet, text.getBytes(StandardCharsets.UTF_8));
+        return edited;
+    }
+}
