--- /dev/null
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/status/StatusCommandTestCase.java
@@ -0,0 +1,150 @@
+package io.jaywick.cli.status;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jaywick.cli.CommandResult;
+import io.jaywick.core.table.ProblemType;
+import io.jaywick.core.table.TableProblem;
+import io.jaywick.node.admin.AdminServer;
+import io.jaywick.node.admin.AdminViews;
+import io.jaywick.node.admin.FleetStatus;
+import io.jaywick.node.admin.NodeStatus;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import reactor.netty.http.client.HttpClient;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+
+class StatusCommandTestCase {
+
+    private static final InetSocketAddress FREE = new InetSocketAddress("127.0.0.1", 0);
+    private static final NodeStatus STATUS = new NodeStatus(
+            "catalogue-selfoss",
+            7,
+            "abc",
+            new NodeStatus.Rejected(
+                    8,
+                    "def",
+                    List.of(new TableProblem(
+                            ProblemType.WRONG_WEIGHT_SUM, "routes", 3, "weight_percent", "sum is 99"))),
+            new NodeStatus.SourceBehind(5, 7),
+            1,
+            17,
+            123_456);
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private volatile boolean ready;
+    private final AdminServer server = new AdminServer(
+            FREE,
+            new AdminViews(
+                    () -> true,
+                    () -> ready,
+                    () -> STATUS,
+                    () -> CompletableFuture.completedFuture(
+                            new FleetStatus(7, 17, 18, List.of(new FleetStatus.FleetLaggard("bookings-hella", 6)))),
+                    registry::scrape,
+                    () -> List.of("{\"a\":1}", "{\"b\":2}")));
+    private final String node = "127.0.0.1:" + server.address().getPort();
+
+    @AfterEach
+    void close() {
+        server.close();
+    }
+
+    /** Guards against renamed or missing keys of the status. */
+    @Test
+    void printsTheStatusOfANode() throws Exception {
+        CommandResult json = CommandResult.of("status", "--node", node, "--json");
+        JsonNode status = new ObjectMapper().readTree(json.out());
+        assertThat(json.status(), equalTo(0));
+        assertThat(status.get("revision").asLong(), equalTo(7L));
+        assertThat(status.at("/lastRejected/problems/0/type").asText(), equalTo("WRONG_WEIGHT_SUM"));
+        assertThat(status.at("/sourceBehind/sourceRevision").asLong(), equalTo(5L));
+        assertThat(status.get("conflicts").asLong() + status.get("peers").asLong(), equalTo(18L));
+        assertThat(status.get("uptimeMillis").asLong(), equalTo(123_456L));
+        String text = CommandResult.of("status", "--node", node).out();
+        assertThat(text, containsString("sourceBehind: source 5, active 7"));
+        assertThat(text, containsString("routes row 3 weight_percent: sum is 99 [WRONG_WEIGHT_SUM]"));
+    }
+
+    /** Guards against a fleet status that does not name the servers that are behind. */
+    @Test
+    void printsTheStatusOfTheFleet() {
+        String text = CommandResult.of("status", "--node", node, "--fleet").out();
+        assertThat(text, containsString("revision 7 is in force on 17 of 18"));
+        assertThat(text, containsString("bookings-hella on revision 6"));
+        assertThat(
+                CommandResult.of("status", "--node", node, "--fleet", "--json").out(),
+                containsString("\"inForce\":17"));
+    }
+
+    /** Guards against wrong input that ends like a status. */
+    @Test
+    void endsWithTwoWhenTheNodeCannotBeAsked() {
+        assertThat(CommandResult.of("status").status(), equalTo(2));
+        assertThat(CommandResult.of("status", "--node", "localhost:1").status(), equalTo(2));
+        server.close();
+        CommandResult result = CommandResult.of("status", "--node", node);
+        assertThat(result.status(), equalTo(2));
+        assertThat(result.err(), containsString("cannot read /status"));
+    }
+
+    /** Guards against an admin port that is not read-only, or hides that a node is not ready. */
+    @Test
+    void showsReadinessMetricsAndRecord() {
+        registry.counter("jaywick.edits").increment();
+        assertThat(get("/health"), equalTo("200 {\"healthy\":true}"));
+        assertThat(get("/ready"), equalTo("503 {\"ready\":false}"));
+        ready = true;
+        assertThat(get("/ready"), equalTo("200 {\"ready\":true}"));
+        assertThat(get("/metrics"), containsString("jaywick_edits_total 1.0"));
+        assertThat(get("/record"), equalTo("200 {\"a\":1}\n{\"b\":2}\n"));
+        assertThat(get("/other"), containsString("404"));
+        Integer status = HttpClient.create()
+                .post()
+                .uri("http://" + node + "/status")
+                .response()
+                .map(response -> response.status().code())
+                .block();
+        assertThat(status, equalTo(405));
+    }
+
+    /** Guards against a failing supplier that leaves the request without an answer. */
+    @Test
+    void answersWithServerErrorWhenASupplierFails() {
+        AdminViews failing = new AdminViews(
+                () -> true,
+                () -> true,
+                () -> {
+                    throw new IllegalStateException("no status");
+                },
+                () -> CompletableFuture.failedFuture(new IllegalStateException("no fleet")),
+                () -> "",
+                List::of);
+        try (AdminServer broken = new AdminServer(FREE, failing)) {
+            String address = "127.0.0.1:" + broken.address().getPort();
+            assertThat(CommandResult.of("status", "--node", address).err(), containsString("answered with status 500"));
+            assertThat(
+                    CommandResult.of("status", "--node", address, "--fleet").err(),
+                    containsString("answered with status 500"));
+        }
+    }
+
+    private String get(String path) {
+        return HttpClient.create()
+                .get()
+                .uri("http://" + node + path)
+                .responseSingle((response, body) -> body.asString()
+                        .defaultIfEmpty("")
+                        .map(text -> response.status().code() + " " + text))
+                .block();
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/settings/SettingsReader.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/settings/SettingsReader.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.TreeSet;
 
+import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -104,12 +105,17 @@
         } catch (CharacterCodingException e) {
             errors.add(file + ": the file is not valid UTF-8");
         } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : Math.max(1, e.getLocation().getLineNr());
-            errors.add(file + ", line " + line + ": not valid TOML: " + e.getOriginalMessage());
+            errors.add(file + ", line " + lineOf(e.getLocation()) + ": not valid TOML: " + e.getOriginalMessage());
         }
         return null;
     }
 
+    /** The parser reports a repeated key after it has read the line break, which is at the start of the next line. */
+    private static int lineOf(JsonLocation location) {
+        int line = location == null ? 1 : location.getLineNr();
+        return location != null && location.getColumnNr() <= 1 && line > 1 ? line - 1 : Math.max(1, line);
+    }
+
     private void checkNames(JsonNode root, Map<String, Map<String, Object>> known) {
         for (Map.Entry<String, JsonNode> section : root.properties()) {
             Map<String, Object> names = known.get(section.getKey());
