--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -1,11 +1,14 @@
 package io.jaywick.cli;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.limits.BenchLimitsCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
@@ -23,6 +26,13 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand(), new StatusCommand());
+        List<Command> commands = new ArrayList<>();
+        commands.add(new BenchLimitsCommand());
+        commands.add(new CheckCommand());
+        commands.add(new GenerateCommand());
+        commands.add(new PackCommand());
+        commands.add(new ReportCommand());
+        commands.add(new StatusCommand());
+        return commands;
     }
 }
