--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits of the parties over all nodes (I13).
+ */
+package io.jaywick.core.limits;
