--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -9,6 +9,7 @@
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
 import io.jaywick.cli.report.ReportCommand;
+import io.jaywick.cli.scenario.ScenarioCommand;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -31,6 +32,7 @@
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
+        commands.add(new ScenarioCommand());
         return commands;
     }
 }
--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitBench.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitBench.java
@@ -17,8 +17,7 @@
         long endNanos = TimeUnit.SECONDS.toNanos(LimitCase.RUN_SECONDS);
         time.runUntil(endNanos);
         long warmNanos = TimeUnit.SECONDS.toNanos(LimitCase.WARM_UP_SECONDS);
-        double windows = (double) (endNanos - warmNanos) / TimeUnit.MILLISECONDS.toNanos(options.windowMillis());
-        double usable = fleet.oracle().calls(warmNanos, endNanos) / (windows * options.limitCalls());
+        double usable = fleet.oracle().usableShare(warmNanos, endNanos);
         return new Result(Math.max(0, fleet.oracle().worst().overCalls()), usable);
     }
 
@@ -26,7 +25,7 @@
      * Outcome of one run.
      *
      * @param maxOverLimitCalls calls beyond the limit in the worst window
-     * @param usableShare calls admitted after the warm-up, divided by those that the first limit allows
+     * @param usableShare calls admitted after the warm-up, divided by those that the published limits allow
      */
     public record Result(int maxOverLimitCalls, double usableShare) {}
 }
--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitOracle.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/LimitOracle.java
@@ -47,6 +47,19 @@
         return count;
     }
 
+    /** Calls admitted between two instants, divided by those that the published limits allow in that time. */
+    public double usableShare(long fromNanos, long toNanos) {
+        double allowed = 0;
+        for (int i = 0; i < eras.size(); i++) {
+            long begin = Math.max(fromNanos, eras.get(i).publishedNanos);
+            long end = Math.min(toNanos, i + 1 < eras.size() ? eras.get(i + 1).publishedNanos : Long.MAX_VALUE);
+            if (end > begin) {
+                allowed += (double) eras.get(i).limitCalls * (end - begin) / eras.get(i).windowNanos;
+            }
+        }
+        return calls(fromNanos, toNanos) / allowed;
+    }
+
     /** The window that exceeds its limit the most; {@code overCalls} is zero or less when none does. */
     public Excess worst() {
         long[] times = Arrays.copyOf(admitted, calls);
