--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -11,6 +11,7 @@
 import io.jaywick.cli.check.PackCommand;
 import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
+import io.jaywick.cli.scenario.ScenarioCommand;
 import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
@@ -36,6 +37,7 @@
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
+        commands.add(new ScenarioCommand());
         commands.add(new StatusCommand());
         return commands;
     }
