Write counters at a bounded pace and measure the usage record

Change: every regular line states the claims and the number of ended calls; changed counters follow when 8 calls came together for each changed key, or after 5 lines without.

Conclusion: fewer bytes against a larger, bounded and printed loss.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.jaywick.cli.bench.record.RecordBenchCommand;
 import io.jaywick.cli.report.ReportCommand;
 
 /** Entry point of the operators' command line. */
@@ -20,6 +21,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new ReportCommand());
+        return List.of(new ReportCommand(), new RecordBenchCommand());
     }
 }
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/MeasuredFold.java
@@ -0,0 +1,46 @@
+package io.jaywick.cli.bench.record;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import io.jaywick.cli.report.RecordReader;
+import io.jaywick.cli.report.ReportPeriod;
+import io.jaywick.cli.report.UsageReport;
+
+/**
+ * A report with its speed and memory. Speed is that of the second of two folds, memory the largest live heap above
+ * that before the fold at ten points of a third one, so that the collections do not slow the timed fold.
+ */
+record MeasuredFold(UsageReport report, long linesPerSecond, long bytesPerSecond, long peakMemoryBytes) {
+
+    private static final int POINTS = 10;
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    static MeasuredFold of(Path file) throws IOException {
+        long lines = fold(file, () -> {}).input().lines();
+        long start = System.nanoTime();
+        UsageReport report = fold(file, () -> {});
+        double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
+        long[] state = new long[2];
+        long before = liveBytes();
+        fold(file, () -> {
+            state[0]++;
+            if (state[0] % Math.max(1, lines / POINTS) == 0) {
+                state[1] = Math.max(state[1], liveBytes() - before);
+            }
+        });
+        return new MeasuredFold(report, Math.round(lines / seconds), Math.round(Files.size(file) / seconds), state[1]);
+    }
+
+    private static UsageReport fold(Path file, Runnable afterLine) throws IOException {
+        return RecordReader.readAll(ReportPeriod.ALL, List.of(file), afterLine);
+    }
+
+    private static long liveBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/NodeCost.java
@@ -0,0 +1,133 @@
+package io.jaywick.cli.bench.record;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import io.jaywick.core.record.CallUsage;
+import io.jaywick.core.record.RecorderIdentity;
+import io.jaywick.core.record.RecorderLimits;
+import io.jaywick.core.record.UsageRecorder;
+import io.jaywick.core.record.UsageSink;
+
+/** Cost of the record at one node of the design size: 220,000 calls/s over 3,700 nodes, a line each 10 s. */
+record NodeCost(
+        double nanosPerCall,
+        double nanosPerCallFourThreads,
+        double nanosPerCallPlainLock,
+        long linesPerDay,
+        long bytesPerDay) {
+
+    private static final int NODES = 3_700;
+    private static final int CALLS_PER_SECOND = 220_000;
+    private static final int INTERVAL_SECONDS = 10;
+    private static final int DAY_SECONDS = 86_400;
+    private static final int DAYS = 30;
+    private static final int LINES_MEASURED = 720;
+    private static final int TIMED_CALLS = 2_000_000;
+    private static final int THREADS = 4;
+    private static final int SAMPLES = 4_096;
+    private static final FleetShape SHAPE =
+            new FleetShape(2, 5, 1, 40, 5, CALLS_PER_SECOND * INTERVAL_SECONDS / NODES, INTERVAL_SECONDS * 1_000);
+
+    static NodeCost measure(long seed) {
+        List<CallUsage> samples = samples(seed);
+        time(1, samples, false);
+        time(THREADS, samples, false);
+        time(THREADS, samples, true);
+        double one = time(1, samples, false);
+        double four = time(THREADS, samples, false);
+        double locked = time(THREADS, samples, true);
+        LongAdder lines = new LongAdder();
+        LongAdder bytes = new LongAdder();
+        FleetOutput output = new FleetOutput(
+                new UsageTruth(),
+                line -> {
+                    lines.increment();
+                    bytes.add(line.length() + 1);
+                },
+                ignored -> {});
+        FleetSimulation fleet = new FleetSimulation(SHAPE, FaultRates.NONE, seed, 0, output);
+        for (int i = 0; i < LINES_MEASURED; i++) {
+            fleet.runInterval();
+        }
+        long perDay = DAY_SECONDS / (LINES_MEASURED * INTERVAL_SECONDS);
+        return new NodeCost(one, four, locked, lines.sum() * perDay, bytes.sum() * perDay);
+    }
+
+    Map<String, Object> figures() {
+        Map<String, Object> figures = new LinkedHashMap<>();
+        figures.put("nanosPerCall", Math.round(nanosPerCall));
+        figures.put("nanosPerCallFourThreads", Math.round(nanosPerCallFourThreads));
+        figures.put("nanosPerCallFourThreadsPlainLock", Math.round(nanosPerCallPlainLock));
+        figures.put("linesPerNodeAndDay", linesPerDay);
+        figures.put("bytesPerNodeAndDay", bytesPerDay);
+        return figures;
+    }
+
+    /** Extrapolates to a month of the whole fleet, folded by one thread at a measured speed in bytes. */
+    Map<String, Object> month(long foldBytesPerSecond, long foldLinesPerSecond) {
+        Map<String, Object> month = new LinkedHashMap<>();
+        month.put("lines", linesPerDay * NODES * DAYS);
+        month.put("bytes", bytesPerDay * NODES * DAYS);
+        month.put(
+                "foldHoursByBytes", Math.round(bytesPerDay * (double) NODES * DAYS / foldBytesPerSecond / 360) / 10.0);
+        month.put(
+                "foldHoursByLines", Math.round(linesPerDay * (double) NODES * DAYS / foldLinesPerSecond / 360) / 10.0);
+        return month;
+    }
+
+    private static List<CallUsage> samples(long seed) {
+        RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+        RandomCalls calls = new RandomCalls(SHAPE, 0, random);
+        List<CallUsage> samples = new ArrayList<>();
+        for (int i = 0; i < SAMPLES; i++) {
+            samples.add(calls.nextCall());
+        }
+        return samples;
+    }
+
+    /** Nanoseconds of one thread for the start and end of a call, with claim lines written when they are due. */
+    private static double time(int threads, List<CallUsage> samples, boolean plainLock) {
+        UsageSink sink = line -> {};
+        RecorderIdentity identity = new RecorderIdentity("s", "d", "region-0", 0, 1);
+        UsageRecorder recorder = new UsageRecorder(
+                identity,
+                java.time.InstantSource.system(),
+                sink,
+                RecorderLimits.forLargestClaim(TIMED_CALLS),
+                () -> {},
+                List::of);
+        NaiveRecorder naive = new NaiveRecorder(identity, sink);
+        Thread[] workers = new Thread[threads];
+        long start = System.nanoTime();
+        for (int i = 0; i < threads; i++) {
+            workers[i] = new Thread(() -> {
+                for (int call = 0; call < TIMED_CALLS; call++) {
+                    CallUsage usage = samples.get(call & (SAMPLES - 1));
+                    if (plainLock) {
+                        synchronized (naive) {
+                            naive.callEnded(usage);
+                        }
+                    } else {
+                        recorder.callStarted();
+                        recorder.callEnded(usage);
+                    }
+                }
+            });
+            workers[i].start();
+        }
+        try {
+            for (Thread worker : workers) {
+                worker.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return (System.nanoTime() - start) / (double) TIMED_CALLS;
+    }
+}
--- a/jaywick-cli/src/main/java/io/jaywick/cli/report/RecordFiles.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/RecordFiles.java
@@ -56,22 +56,30 @@
         long number = 1;
         int read = readBlock(file, number, in, buffer);
         while (read > 0) {
+            int start = 0;
             for (int i = 0; i < read; i++) {
                 if (buffer[i] == '\n') {
-                    take(file, number++, length, consumer);
+                    take(file, number++, append(buffer, start, i, length), consumer);
                     length = 0;
-                } else if (length < MAX_LINE_BYTES) {
-                    if (length == line.length) {
-                        line = Arrays.copyOf(line, 2 * line.length);
-                    }
-                    line[length++] = buffer[i];
+                    start = i + 1;
                 }
             }
+            length = append(buffer, start, read, length);
             read = readBlock(file, number, in, buffer);
         }
         take(file, number, length, consumer);
     }
 
+    /** Appends a part of the buffer to the line and returns its length; bytes over the bound are dropped. */
+    private int append(byte[] buffer, int from, int to, int length) {
+        int added = Math.min(to - from, MAX_LINE_BYTES - length);
+        if (length + added > line.length) {
+            line = Arrays.copyOf(line, Math.min(MAX_LINE_BYTES, 2 * (length + added)));
+        }
+        System.arraycopy(buffer, from, line, length, added);
+        return length + added;
+    }
+
     /** A compressed file that ends early or is damaged yields the lines before the damage. */
     private int readBlock(String file, long number, InputStream in, byte[] buffer) throws IOException {
         try {
--- a/jaywick-cli/src/main/java/io/jaywick/cli/report/RecordReader.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/RecordReader.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.core.record.ProcessFold;
 import io.jaywick.core.record.ProcessGap;
 import io.jaywick.core.record.RecordFold;
 import io.jaywick.core.record.RecordLine;
@@ -28,14 +29,19 @@
     private int fileCount;
     private long processCount;
 
-    public RecordReader(ReportPeriod period, long maxHeldEntries) {
+    RecordReader(ReportPeriod period, long maxHeldEntries) {
         this.period = period;
         this.maxHeldEntries = maxHeldEntries;
         this.sums = new UsageSums(period);
     }
 
+    /** Reads the files with the default bound of memory and without a table. */
+    public static UsageReport readAll(ReportPeriod period, List<Path> paths, Runnable afterLine) throws IOException {
+        return new RecordReader(period, DEFAULT_HELD_ENTRIES).read(paths, TableDirectory.NONE, afterLine);
+    }
+
     /** Reads the files in any order and returns the report. */
-    public UsageReport read(List<Path> paths, TableDirectory table, Runnable afterLine) throws IOException {
+    UsageReport read(List<Path> paths, TableDirectory table, Runnable afterLine) throws IOException {
         try (FoldSpill spill = new FoldSpill()) {
             for (Path path : paths) {
                 fileCount++;
@@ -71,7 +77,7 @@
         }
     }
 
-    private void addProcess(io.jaywick.core.record.ProcessFold process, ProcessGap gap) {
+    private void addProcess(ProcessFold process, ProcessGap gap) {
         processCount++;
         silences.add(process);
         process.entries().forEach(sums::add);
--- a/jaywick-core/src/main/java/io/jaywick/core/record/ClaimLedger.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/ClaimLedger.java
@@ -16,6 +16,9 @@
     /** More lines are asked for when less than this part of the claim is left. */
     private static final int EARLY_PART = 8;
 
+    /** The claim falls by this part of itself with each regular line, so that an uneven load needs no extra lines. */
+    private static final int DECAY_PART = 4;
+
     private final AtomicLong started = new AtomicLong();
     private final AtomicBoolean wanted = new AtomicBoolean();
     private final long smallest;
@@ -54,12 +57,13 @@
     }
 
     /**
-     * Sizes the claim by the starts since the last regular line: with a steady load the oldest claim that counts is
-     * half used when the next line is due. Called under the writer's lock.
+     * Sizes the claim by the starts since the last regular line: with a steady load two thirds of the oldest claim that
+     * counts are left when the next line is due. Called under the writer's lock.
      */
     void adaptToInterval() {
         long now = started.get();
-        ahead = Math.max(smallest, Math.min(largest, (written.length + 1) * (now - startedAtLine)));
+        long steady = Math.max((written.length + 2) * (now - startedAtLine), ahead - ahead / DECAY_PART);
+        ahead = Math.max(smallest, Math.min(largest, steady));
         startedAtLine = now;
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/record/RecordLineReader.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/RecordLineReader.java
@@ -10,7 +10,6 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadFeature;
 
 /**
  * Reads record lines. A line that is not exactly as it was written is rejected with {@link RecordLineException}; a
@@ -24,9 +23,7 @@
     private static final int HEX = 16;
     private static final int MAX_PERCENT = 100;
 
-    private final JsonFactory json = JsonFactory.builder()
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .build();
+    private final JsonFactory json = new JsonFactory();
     private final LineValues values = new LineValues();
 
     /** Reads one line without its line break. */
--- a/jaywick-core/src/main/java/io/jaywick/core/record/RecorderLimits.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/RecorderLimits.java
@@ -9,15 +9,32 @@
  *     them still covers every call, 0 or more
  * @param maxKeysPerHour keys counted by name in one hour; further keys share the label {@code overflow}
  * @param maxEntriesPerLine sets of counters in one line; more are spread over several lines
+ * @param callsPerEntry calls and dispatches that have to come together for each changed set of counters before the
+ *     counters are written; bounds the bytes for each call
+ * @param linesWithoutCounters regular lines without counters at most, however few calls there are
  * @param stripes counting stripes; as many as threads that count
  */
 public record RecorderLimits(
-        long smallestClaim, long largestClaim, int lostLines, int maxKeysPerHour, int maxEntriesPerLine, int stripes) {
+        long smallestClaim,
+        long largestClaim,
+        int lostLines,
+        int maxKeysPerHour,
+        int maxEntriesPerLine,
+        int callsPerEntry,
+        int linesWithoutCounters,
+        int stripes) {
 
     private static final long SMALLEST_CLAIM = 64;
     private static final int LOST_LINES = 2;
     private static final int MAX_KEYS_PER_HOUR = 4_096;
-    private static final int MAX_ENTRIES_PER_LINE = 256;
+    private static final int MAX_ENTRIES_PER_LINE = 512;
+    /**
+     * Counters on every line took 1.0 GB for each node and day at the design size, nearly all of it for keys with one
+     * or two calls between two lines.
+     */
+    private static final int CALLS_PER_ENTRY = 8;
+
+    private static final int LINES_WITHOUT_COUNTERS = 5;
     private static final int STRIPES = 16;
 
     public RecorderLimits {
@@ -26,11 +43,26 @@
                 || lostLines < 0
                 || maxKeysPerHour < 1
                 || maxEntriesPerLine < 1
+                || callsPerEntry < 0
+                || linesWithoutCounters < 0
                 || stripes < 1) {
             throw new IllegalArgumentException("recorder limits out of range");
         }
     }
 
+    /** The same limits with another pace of counters. */
+    public RecorderLimits withPace(int otherCallsPerEntry, int otherLinesWithoutCounters) {
+        return new RecorderLimits(
+                smallestClaim,
+                largestClaim,
+                lostLines,
+                maxKeysPerHour,
+                maxEntriesPerLine,
+                otherCallsPerEntry,
+                otherLinesWithoutCounters,
+                stripes);
+    }
+
     /** Limits for a node whose settings allow a claim of this many calls. */
     public static RecorderLimits forLargestClaim(long largestClaim) {
         return new RecorderLimits(
@@ -39,6 +71,8 @@
                 LOST_LINES,
                 MAX_KEYS_PER_HOUR,
                 MAX_ENTRIES_PER_LINE,
+                CALLS_PER_ENTRY,
+                LINES_WITHOUT_COUNTERS,
                 STRIPES);
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/record/UsageRecorder.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/UsageRecorder.java
@@ -42,6 +42,7 @@
     private long sequence;
     private long claimedCalls;
     private long claimedDispatches;
+    private int linesWithoutCounters;
     private boolean closed;
 
     /**
@@ -94,15 +95,21 @@
         snapshot = next;
     }
 
-    /** Writes the counters that changed and, after the end of an hour, all of its counters. */
+    /**
+     * Writes the regular line. It states the claims and how many calls ended; it also holds the counters that changed
+     * when enough calls came together, and after the end of an hour all of its counters.
+     */
     public void writeCounters() {
         synchronized (writeLock) {
             if (closed) {
                 return;
             }
             long hour = stripes.drain(table::add);
-            for (UsageEntry entry : table.takeChanged(hour)) {
-                pending.put(entry.key(), entry.counters());
+            if (linesWithoutCounters >= limits.linesWithoutCounters() || table.isDue(hour, limits.callsPerEntry())) {
+                linesWithoutCounters = 0;
+                takeChanged(hour);
+            } else {
+                linesWithoutCounters++;
             }
             calls.adaptToInterval();
             dispatches.adaptToInterval();
@@ -140,9 +147,7 @@
             long startedCalls = calls.seal();
             long startedDispatches = dispatches.seal();
             long hour = stripes.drain(table::add);
-            for (UsageEntry entry : table.takeChanged(hour)) {
-                pending.put(entry.key(), entry.counters());
-            }
+            takeChanged(hour);
             for (UsageEntry entry : table.takeAll()) {
                 pending.put(entry.key(), entry.counters());
             }
@@ -188,6 +193,12 @@
         }
     }
 
+    private void takeChanged(long hour) {
+        for (UsageEntry entry : table.takeChanged(hour)) {
+            pending.put(entry.key(), entry.counters());
+        }
+    }
+
     private void start(ClaimLedger ledger) {
         long number = ledger.start();
         if (!ledger.covers(number)) {
--- a/jaywick-core/src/main/java/io/jaywick/core/record/UsageTable.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/record/UsageTable.java
@@ -16,6 +16,7 @@
     private Set<UsageKey> changed = new HashSet<>();
     private long endedCalls;
     private long endedDispatches;
+    private long unwritten;
 
     UsageTable(int maxKeysPerHour) {
         this.maxKeysPerHour = maxKeysPerHour;
@@ -28,8 +29,11 @@
         UsageKey room = named >= maxKeysPerHour && !hour.containsKey(key) ? overflow : key;
         hour.computeIfAbsent(room, ignored -> new UsageCounters()).addAll(delta);
         changed.add(room);
-        endedCalls += delta.asked();
-        endedDispatches += delta.get(UsageCounters.DISPATCHES);
+        long calls = delta.asked();
+        long dispatches = delta.get(UsageCounters.DISPATCHES);
+        endedCalls += calls;
+        endedDispatches += dispatches;
+        unwritten += calls + dispatches;
     }
 
     long endedCalls() {
@@ -40,6 +44,11 @@
         return endedDispatches;
     }
 
+    /** True when an hour has ended or enough calls have come together for each changed set of counters. */
+    boolean isDue(long currentHour, int callsPerEntry) {
+        return !hours.isEmpty() && hours.firstKey() < currentHour || unwritten >= (long) callsPerEntry * changed.size();
+    }
+
     /** Copies the changed counters and all counters of the hours that ended, and forgets the latter. */
     List<UsageEntry> takeChanged(long currentHour) {
         List<UsageEntry> entries = new ArrayList<>();
@@ -53,6 +62,7 @@
             }
         }
         changed = new HashSet<>();
+        unwritten = 0;
         return entries;
     }
 
@@ -68,6 +78,7 @@
     /** Copies all counters of the open hours and marks them as written. */
     List<UsageEntry> takeAll() {
         changed = new HashSet<>();
+        unwritten = 0;
         return all();
     }
 }
