--- a/jaywick-cli/src/main/java/io/jaywick/cli/report/BarChart.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/BarChart.java
@@ -46,7 +46,7 @@
         this.series = series;
     }
 
-    /** Adds a group of bars, one for each series; {@code mark} is text after the last value. */
+    /** Adds a group of bars, one for each series; {@code mark} is text after the first value. */
     void add(String label, String mark, Bar... bars) {
         if (groups.size() < MAX_GROUPS) {
             groups.add(new Group(label, List.of(bars), mark));
@@ -111,8 +111,8 @@
             int y = top + i * BAR_HEIGHT;
             double length = largest == 0 ? 0 : Math.max(0, bar.value()) / largest * BAR_WIDTH;
             rectangle(svg, LABEL_WIDTH, y, length, FILLINGS[i]);
-            boolean last = i == group.bars().size() - 1;
-            text(svg, LABEL_WIDTH + length + 4, y, "start", bar.text() + (last ? group.mark() : ""));
+            boolean first = i == 0;
+            text(svg, LABEL_WIDTH + length + 4, y, "start", bar.text() + (first ? group.mark() : ""));
         }
     }
 
