--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -6,6 +6,7 @@
 
 import io.jaywick.cli.bench.DistributionBenchCommand;
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
+import io.jaywick.cli.bench.record.RecordBenchCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
@@ -32,6 +33,7 @@
         List<Command> commands = new ArrayList<>();
         commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
+        commands.add(new RecordBenchCommand());
         commands.add(new CheckCommand());
         commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
