--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/TableVersionCheck.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/TableVersionCheck.java
@@ -1,5 +1,6 @@
 package io.jaywick.core.distribution;
 
+import java.util.ArrayList;
 import java.util.List;
 
 import io.jaywick.core.snapshot.SnapshotBuilder;
@@ -10,6 +11,9 @@
 /** Accepts what the verdict of docs/design.md, section 3, accepts. */
 public final class TableVersionCheck implements VersionCheck {
 
+    /** Bounds what a rejected value can make a node keep and show. */
+    private static final int MAX_PROBLEMS = 100;
+
     @Override
     public CheckedVersion checkPacked(long revision, byte[] packed) {
         return checked(revision, TableVerdict.ofPacked(packed));
@@ -24,8 +28,14 @@
         if (verdict.accepted()) {
             return CheckedVersion.accepted(SnapshotBuilder.build(revision, verdict.content()));
         }
-        List<String> problems =
-                verdict.problems().stream().map(TableProblem::line).toList();
+        List<String> problems = new ArrayList<>();
+        for (TableProblem problem : verdict.problems()) {
+            if (problems.size() == MAX_PROBLEMS) {
+                problems.add("and " + (verdict.problems().size() - MAX_PROBLEMS) + " more");
+                break;
+            }
+            problems.add(problem.line());
+        }
         return CheckedVersion.rejected(verdict.hash().hex(), problems);
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.distribution.FleetStatus;
+import io.jaywick.core.distribution.TableVersionCheck;
 import io.jaywick.core.limits.LimiterOptions;
 import io.jaywick.core.limits.PartyLimiter;
 import io.jaywick.core.membership.Member;
@@ -142,7 +143,7 @@
                         environment.scheduler(),
                         environment.random()),
                 this::adopted,
-                new TableCheck(),
+                new TableVersionCheck(),
                 suspects());
         members.set(distribution.membership());
         this.admin = new AdminServer(
