Let the demonstration end gracefully and start slowly

Cause: closing sockets ran on timer threads, which Reactor forbids, and 375 calls/s from the first moment met cold targets on a cold runtime. Change: closing runs on the elastic scheduler, the limiter uses the monotonic clock (a Reactor scheduler's clock is the wall clock), and the callers warm up with 30 calls per region, then send 50 a second.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoCallers.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoCallers.java
@@ -21,7 +21,11 @@
 /** Callers in each region. They send to the egress ports of the region's nodes and keep what they were told. */
 final class DemoCallers implements AutoCloseable {
 
-    private static final Duration SPACING = Duration.ofMillis(8);
+    private static final Duration SPACING = Duration.ofMillis(20);
+    /** Targets and the Java runtime start cold, so the first calls come slowly. */
+    private static final Duration WARM_UP_SPACING = Duration.ofMillis(100);
+
+    private static final int WARM_UP_CALLS = 30;
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(5);
     private static final int WRITE_EVERY = 4;
 
@@ -49,7 +53,9 @@
     void start() {
         for (Map.Entry<String, List<DemoFleet.Place>> region : byRegion.entrySet()) {
             Random random = new Random(region.getKey().hashCode());
-            streams.add(Flux.interval(SPACING)
+            streams.add(Flux.concat(
+                            Flux.interval(WARM_UP_SPACING).take(WARM_UP_CALLS),
+                            Flux.interval(SPACING).map(number -> number + WARM_UP_CALLS))
                     .onBackpressureDrop()
                     .flatMap(number -> call(region.getKey(), region.getValue(), number, random), 256)
                     .subscribe());
--- a/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoRun.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoRun.java
@@ -18,6 +18,7 @@
     private static final Duration POLL = Duration.ofMillis(5);
     private static final Duration CONVERGENCE_TIMEOUT = Duration.ofSeconds(9);
     private static final Duration START_TIMEOUT = Duration.ofSeconds(20);
+    private static final Duration WARM_UP = Duration.ofMillis(3_500);
     private static final Duration QUIET = Duration.ofMillis(1_500);
     private static final Duration OUT = Duration.ofSeconds(5);
     private static final Duration RETURNED = Duration.ofSeconds(4);
@@ -44,7 +45,7 @@
         require(() -> fleet.observer().serversOn(1) == nodes, START_TIMEOUT, "the first revision on every node");
         try (DemoCallers callers = new DemoCallers(profile, fleet.places())) {
             callers.start();
-            pause(QUIET);
+            pause(WARM_UP);
             good(fleet, profile.goodEdits().get(0));
             good(fleet, profile.goodEdits().get(1));
             bad(fleet);
--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -10,10 +10,8 @@
 
 import io.jaywick.core.distribution.FleetStatus;
 import io.jaywick.core.limits.LimiterOptions;
-import io.jaywick.core.limits.PartyLimiter;
 import io.jaywick.core.membership.Member;
 import io.jaywick.core.message.Laggard;
-import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerEntry;
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.QuotaRequest;
@@ -28,6 +26,7 @@
 import io.jaywick.node.admin.AdminViews;
 import io.jaywick.node.admin.NodeStatus;
 import io.jaywick.node.frame.FrameCodec;
+import io.jaywick.node.limits.QuotaService;
 import io.jaywick.node.peer.DistributionConfig;
 import io.jaywick.node.peer.DistributionService;
 import io.jaywick.node.peer.DistributionStatus;
@@ -45,8 +44,7 @@
 import io.jaywick.node.trace.Tracing;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import reactor.core.Disposable;
-import reactor.core.Disposables;
+import reactor.core.scheduler.Schedulers;
 
 /**
  * One node: distribution, proxy, limits and usage record wired together. See docs/design.md, section 2. The order of
@@ -56,7 +54,6 @@
 
     private static final Logger LOG = System.getLogger(Node.class.getName());
 
-    private static final long LIMIT_TICK_MILLIS = 100;
     private static final int MAX_SUSPECTS_PER_DIGEST = 4;
 
     private final IdentitySettings identity;
@@ -68,12 +65,11 @@
     private final PeerServer peerServer;
     private final ProxyServer proxy;
     private final DistributionService distribution;
-    private final PartyLimiter limiter;
+    private final QuotaService quota;
     private final UsageRecordWriter record;
     private final NodeEnvironment environment;
     private final AdminServer admin;
     private final long startNanos = System.nanoTime();
-    private Disposable limitTimer = Disposables.disposed();
 
     /** Binds the ports. The node takes part in the fleet after {@link #start}. */
     public Node(NodeSettings settings, NodeEnvironment environment) {
@@ -100,7 +96,7 @@
                 environment.scheduler(),
                 environment.usageLines(),
                 () -> peerHeads(members));
-        this.limiter = new PartyLimiter(
+        this.quota = new QuotaService(
                 new LimiterOptions(
                         identity.server(),
                         environment.incarnation(),
@@ -108,19 +104,18 @@
                         settings.limits().grantMillis(),
                         environment.firstStart()),
                 link,
-                server -> members.member(server).map(Member::peerAddress),
+                members,
                 new FleetRevisionsMonitor(this::fleetStatus, System::nanoTime),
+                environment.scheduler(),
                 System::nanoTime,
                 environment.random());
-        handlers.register(
-                QuotaRequest.class,
-                message -> CompletableFuture.<Message>completedFuture(limiter.handle((QuotaRequest) message)));
+        handlers.register(QuotaRequest.class, quota);
         this.proxy = new ProxyServer(
                 new ProxyContext(
                         new NodePlace(identity.server(), identity.dataCentre(), identity.region()),
                         this::snapshot,
                         members,
-                        limiter,
+                        quota,
                         record.recorder(),
                         settings.calls(),
                         environment.scheduler(),
@@ -165,9 +160,6 @@
     /** Joins the fleet. */
     public void start() {
         distribution.start();
-        limitTimer = environment
-                .scheduler()
-                .schedulePeriodically(this::tickLimits, LIMIT_TICK_MILLIS, LIMIT_TICK_MILLIS, TimeUnit.MILLISECONDS);
         LOG.log(
                 Level.INFO,
                 () -> "node " + identity.server() + " started: peers on " + peerServer.address() + ", callers on "
@@ -178,7 +170,9 @@
     /** Refuses new calls, waits for those in flight, writes the last usage lines and closes. */
     public CompletableFuture<Void> shutDown() {
         distribution.leave();
-        return proxy.shutDown().whenComplete((ignored, failure) -> closeAfterProxy());
+        // Closing waits for sockets, which the threads of the node's timers must not do.
+        return proxy.shutDown()
+                .whenCompleteAsync((ignored, failure) -> closeAfterProxy(), Schedulers.boundedElastic()::schedule);
     }
 
     /** Ends at once. Calls in flight are cut. */
@@ -252,20 +246,11 @@
     }
 
     private void adopted(Snapshot snapshot) {
-        limiter.onSnapshot(snapshot);
+        quota.onSnapshot(snapshot);
         record.recorder().onSnapshot(snapshot);
         environment.observer().onSnapshot(snapshot);
     }
 
-    /** A failure must not end the periodic tick, because grants expire without renewal. */
-    private void tickLimits() {
-        try {
-            limiter.tick();
-        } catch (RuntimeException e) {
-            LOG.log(Level.ERROR, "tick of the party limits failed", e);
-        }
-    }
-
     private NodeStatus nodeStatus() {
         DistributionStatus status = distribution.status();
         NodeStatus.Rejected rejected = status.rejected() == null
@@ -323,7 +308,7 @@
 
     private void closeAfterProxy() {
         admin.close();
-        limitTimer.dispose();
+        quota.close();
         record.close();
         distribution.close();
         tcpLink.close();
--- a/jaywick-node/src/main/java/io/jaywick/node/limits/QuotaService.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/limits/QuotaService.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 import io.jaywick.core.limits.CallQuota;
@@ -32,21 +33,21 @@
     private final PartyLimiter limiter;
     private final Disposable ticks;
 
-    /** Starts the ticks; {@link #close} ends them. */
+    /**
+     * Starts the ticks; {@link #close} ends them.
+     *
+     * @param nanoClock monotonic; the clock of a Reactor scheduler is the wall clock, which may be set back
+     */
     public QuotaService(
             LimiterOptions options,
             PeerLink link,
             MembershipView members,
             FleetRevisions revisions,
             Scheduler scheduler,
+            LongSupplier nanoClock,
             RandomGenerator random) {
         this.limiter = new PartyLimiter(
-                options,
-                link,
-                server -> members.member(server).map(Member::peerAddress),
-                revisions,
-                () -> scheduler.now(TimeUnit.NANOSECONDS),
-                random);
+                options, link, server -> members.member(server).map(Member::peerAddress), revisions, nanoClock, random);
         this.ticks = scheduler.schedulePeriodically(limiter::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/ProxyServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/ProxyServer.java
@@ -7,6 +7,7 @@
 import io.jaywick.core.admission.SuspectList;
 import io.jaywick.core.message.SuspectEntry;
 import reactor.core.Disposable;
+import reactor.core.scheduler.Schedulers;
 
 /** Egress and ingress of one node with what they share. */
 public final class ProxyServer implements AutoCloseable {
@@ -72,10 +73,13 @@
                         0,
                         POLL_MILLIS,
                         TimeUnit.MILLISECONDS);
-        return done.whenComplete((ignored, error) -> {
-            poll.dispose();
-            close();
-        });
+        // Closing waits for sockets, which a timer thread must not do.
+        return done.whenCompleteAsync(
+                (ignored, error) -> {
+                    poll.dispose();
+                    close();
+                },
+                Schedulers.boundedElastic()::schedule);
     }
 
     /** Ends at once, with all calls in flight. */
