Let calls in flight end when the demonstration stops its callers

Cause: disposing the streams cancelled calls in flight, which then counted as calls without an outcome. Change: the streams end and their calls finish; reports and grants use the default periods.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoCallers.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoCallers.java
@@ -12,9 +12,9 @@
 import io.jaywick.node.proxy.CallHeaders;
 import io.jaywick.standin.target.TargetServer;
 import io.netty.handler.codec.http.HttpMethod;
-import reactor.core.Disposable;
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
+import reactor.core.publisher.Sinks;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.resources.ConnectionProvider;
 
@@ -39,7 +39,7 @@
     private final Map<String, Told> told = new ConcurrentHashMap<>();
     private final AtomicLong sent = new AtomicLong();
     private final AtomicLong open = new AtomicLong();
-    private final List<Disposable> streams = new ArrayList<>();
+    private final Sinks.Empty<Void> stopped = Sinks.empty();
 
     DemoCallers(FleetProfile profile, List<DemoFleet.Place> places) {
         this.profile = profile;
@@ -53,12 +53,13 @@
     void start() {
         for (Map.Entry<String, List<DemoFleet.Place>> region : byRegion.entrySet()) {
             Random random = new Random(region.getKey().hashCode());
-            streams.add(Flux.concat(
+            Flux.concat(
                             Flux.interval(WARM_UP_SPACING).take(WARM_UP_CALLS),
                             Flux.interval(SPACING).map(number -> number + WARM_UP_CALLS))
                     .onBackpressureDrop()
+                    .takeUntilOther(stopped.asMono())
                     .flatMap(number -> call(region.getKey(), region.getValue(), number, random), 256)
-                    .subscribe());
+                    .subscribe();
         }
     }
 
@@ -88,9 +89,9 @@
                 .then();
     }
 
-    /** Stops sending. */
+    /** Stops sending; calls in flight go on. */
     void stop() {
-        streams.forEach(Disposable::dispose);
+        stopped.tryEmitEmpty();
     }
 
     boolean isIdle() {
--- a/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoFleet.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/demo/DemoFleet.java
@@ -52,9 +52,9 @@
     private static final double FALL_OVER_FACTOR = 3.0;
     private static final long TARGET_RESTART_MILLIS = 1_000;
 
-    private static final PeersSettings PEERS = new PeersSettings(List.of(), 8, 1_000, 500, 300, 2_000, 500);
+    private static final PeersSettings PEERS = new PeersSettings(List.of(), 8, 1_000, 500, 300, 2_000, 2_000);
     private static final CallsSettings CALLS = new CallsSettings(3_000, 5_000, 64, 600_000, 100_000);
-    private static final LimitsSettings LIMITS = new LimitsSettings(16, 2_000);
+    private static final LimitsSettings LIMITS = new LimitsSettings(16, 10_000);
     private static final RecordSettings RECORD = new RecordSettings(1_000, 10_000);
     private static final TraceSettings TRACE = new TraceSettings(1_000_000);
 
