--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -4,11 +4,15 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.DistributionBenchCommand;
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
+import io.jaywick.cli.bench.record.RecordBenchCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
+import io.jaywick.cli.scenario.ScenarioCommand;
 import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
@@ -27,11 +31,15 @@
 
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
+        commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
+        commands.add(new RecordBenchCommand());
         commands.add(new CheckCommand());
+        commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
+        commands.add(new ScenarioCommand());
         commands.add(new StatusCommand());
         return commands;
     }
