--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/BenchLimitsCommand.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/BenchLimitsCommand.java
@@ -1,7 +1,9 @@
 package io.jaywick.cli.bench.limits;
 
 import java.io.PrintStream;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
@@ -15,6 +17,7 @@
 public final class BenchLimitsCommand implements Command {
 
     private static final long DEFAULT_SEED = 1;
+    private static final int[] DEMAND_SERVERS = {1, 10, 100};
 
     @Override
     public String name() {
@@ -62,10 +65,18 @@
             }
             strategies.put(strategy.key(), Map.of("maxOverLimitCalls", over, "usableShare", usable));
         }
+        List<LimitCost.Cost> costs = new ArrayList<>();
+        for (int demandServers : DEMAND_SERVERS) {
+            costs.add(LimitCost.measure(demandServers, seed));
+        }
+        if (!line.hasOption("json")) {
+            costs.forEach(cost -> out.println("escrow   " + cost));
+        }
         if (line.hasOption("json")) {
             Map<String, Object> result = new LinkedHashMap<>();
             result.put("seed", seed);
             result.put("strategies", strategies);
+            result.put("escrowCostPerParty", costs);
             out.println(new ObjectMapper().writerWithDefaultPrettyPrinter().writeValueAsString(result));
         }
         return 0;
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/limits/PartyLimiterTestCase.java
@@ -0,0 +1,132 @@
+package io.jaywick.core.limits;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.message.QuotaRequest;
+import io.jaywick.core.snapshot.DataCentre;
+import io.jaywick.core.snapshot.Party;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.table.TableContent;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+
+class PartyLimiterTestCase {
+
+    private static final Party PARTY = party(10);
+
+    private long nowNanos = 1;
+    private long stallNanos;
+    private boolean wholeFleetSeen;
+
+    /** Guards against a call admitted by a process that paused after its check. */
+    @Test
+    void pauseAfterTheCheckRefusesTheCall() {
+        PartyLimiter limiter = limiter(true);
+        limiter.onSnapshot(snapshot(1, PARTY, "a"));
+        assertThat(limiter.tryAcquire(PARTY), is(true));
+        stallNanos = TimeUnit.MILLISECONDS.toNanos(500);
+        assertThat(limiter.tryAcquire(PARTY), is(false));
+    }
+
+    /** Guards against a restarted holder that uses or lends its share at once. */
+    @Test
+    void restartedHolderHasNoQuota() {
+        PartyLimiter limiter = limiter(false);
+        wholeFleetSeen = true;
+        limiter.onSnapshot(snapshot(1, PARTY, "a"));
+        limiter.tick();
+        assertThat(limiter.tryAcquire(PARTY), is(false));
+        QuotaRequest request = new QuotaRequest("b", 1, 1, "p", 1, 10, 10_000, 0, 0, 0);
+        assertThat(limiter.handle(request).calls(), equalTo(0));
+        nowNanos += TimeUnit.SECONDS.toNanos(12);
+        limiter.tick();
+        assertThat(limiter.tryAcquire(PARTY), is(false));
+        nowNanos += TimeUnit.SECONDS.toNanos(1);
+        limiter.tick();
+        assertThat(limiter.tryAcquire(PARTY), is(true));
+    }
+
+    /** Guards against a raised limit that a node applies only after the fleet confirms, and a lowered one it ignores. */
+    @Test
+    void editOfTheLimitWithTheSameRosterAppliesAtOnce() {
+        PartyLimiter limiter = limiter(true);
+        limiter.onSnapshot(snapshot(1, PARTY, "a"));
+        limiter.tryAcquire(PARTY);
+        limiter.onSnapshot(snapshot(2, party(4), "a"));
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(4));
+        limiter.onSnapshot(snapshot(3, party(20), "a"));
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(20));
+    }
+
+    /** Guards against a share that grows over a change of the roster before the former holder has left it. */
+    @Test
+    void shareGrowsOverARosterChangeOnlyAfterTheFleetConfirms() {
+        PartyLimiter limiter = limiter(true);
+        limiter.onSnapshot(snapshot(1, PARTY, "a", "b"));
+        limiter.tryAcquire(PARTY);
+        limiter.onSnapshot(snapshot(2, PARTY, "a"));
+        nowNanos += TimeUnit.SECONDS.toNanos(100);
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(5));
+        wholeFleetSeen = true;
+        nowNanos += TimeUnit.SECONDS.toNanos(2);
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(5));
+        nowNanos += TimeUnit.SECONDS.toNanos(13);
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(10));
+    }
+
+    /** Guards against state that stays after a party has left the table. */
+    @Test
+    void removedPartyIsRefusedAndForgotten() {
+        PartyLimiter limiter = limiter(true);
+        limiter.onSnapshot(snapshot(1, PARTY, "a"));
+        limiter.tryAcquire(PARTY);
+        limiter.onSnapshot(snapshot(2, null, "a"));
+        assertThat(limiter.tryAcquire(PARTY), is(false));
+        nowNanos += TimeUnit.SECONDS.toNanos(30);
+        limiter.tick();
+        assertThat(limiter.quotaCalls("p"), equalTo(0));
+    }
+
+    private PartyLimiter limiter(boolean firstStart) {
+        return new PartyLimiter(
+                new LimiterOptions("a", 1, 16, 10_000, firstStart),
+                (address, message) -> new CompletableFuture<>(),
+                server -> Optional.empty(),
+                (oldest, newest) -> wholeFleetSeen,
+                () -> {
+                    long now = nowNanos;
+                    nowNanos += stallNanos;
+                    return now;
+                },
+                new Random(1));
+    }
+
+    private static Party party(int limitCalls) {
+        return new Party("p", limitCalls, 2_000, 0, Set.of(), 0);
+    }
+
+    private static Snapshot snapshot(long revision, Party party, String... servers) {
+        Map<String, Server> roster = new HashMap<>();
+        for (String server : servers) {
+            roster.put(server, new Server(server, new DataCentre("d", "r", true), "s"));
+        }
+        Map<String, Party> parties = party == null ? Map.of() : Map.of(party.name(), party);
+        return new Snapshot(revision, new TableContent(Map.of()), Map.of(), roster, Map.of(), List.of(), parties);
+    }
+}
