--- a/jaywick-core/src/main/java/io/jaywick/core/membership/Peer.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/membership/Peer.java
@@ -14,6 +14,7 @@
     private long heardMillis;
     private long failedMillis = NEVER;
     private boolean confirmed;
+    private long seenRevision;
     private Member member;
 
     Peer(String self, PeerEntry entry, long heardMillis, boolean confirmed) {
@@ -42,6 +43,16 @@
         return entry.peerAddress();
     }
 
+    /** Newest revision that the server is known to hold. */
+    public long seenRevision() {
+        return seenRevision;
+    }
+
+    /** Notes that the server said to hold a revision. */
+    public void sawRevision(long revision) {
+        seenRevision = Math.max(seenRevision, revision);
+    }
+
     PeerEntry entry() {
         return entry;
     }
@@ -72,6 +83,7 @@
         heardMillis = heard;
         failedMillis = NEVER;
         confirmed = nowConfirmed;
+        seenRevision = 0;
         member = null;
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
@@ -13,6 +13,7 @@
 import io.jaywick.core.distribution.VersionTracker;
 import io.jaywick.core.membership.MembershipTable;
 import io.jaywick.core.membership.MembershipView;
+import io.jaywick.core.membership.Peer;
 import io.jaywick.core.message.Ack;
 import io.jaywick.core.message.Announce;
 import io.jaywick.core.message.DeltaReply;
@@ -47,6 +48,7 @@
 
     private static final long LIST_TIMEOUT_MILLIS = 10_000;
     private static final int BOOTSTRAP_PEERS = 3;
+    private static final int LOCAL_ROUNDS = 3;
 
     private final DistributionConfig config;
     private final InstanceList instances;
@@ -63,6 +65,7 @@
     private final Backoff bootstrapBackoff;
     private final Backoff listBackoff;
     private Disposable bootstrapTimer = Disposables.disposed();
+    private int bootstrapRounds;
     private long tickMillis;
     private volatile DistributionStatus status;
 
@@ -220,8 +223,11 @@
         if (tracker.active() != null) {
             return;
         }
+        // The whole content is taken from the own region while somebody there has it; regional links are paid for.
+        boolean anywhere = ++bootstrapRounds > LOCAL_ROUNDS;
         for (int i = 0; i < BOOTSTRAP_PEERS; i++) {
-            spreader.digestTo(spreader.randomPeer(i == 0));
+            Peer peer = spreader.randomPeer(i == 0 ? spreader::isInDataCentre : spreader::isInRegion);
+            spreader.digestTo(anywhere || peer == null ? spreader.randomPeer(any -> true) : peer);
         }
         bootstrapTimer.dispose();
         bootstrapTimer = loop.after(bootstrapBackoff.nextMillis(), this::bootstrap);
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Spreader.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 import io.jaywick.core.distribution.PullPlan.Holder;
 import io.jaywick.core.membership.Peer;
@@ -24,6 +25,9 @@
     /** Time after which a digest counts as unanswered. */
     static final long ANSWER_MILLIS = 2_000;
 
+    /** Longest wait for a relay, in units of the backup delay; 2.4 s with the defaults. */
+    private static final int MAX_BACKUPS = 8;
+
     /** One digest in so many goes to a random member of the data centre instead of a neighbour. */
     private static final int RANDOM_ONE_IN = 4;
 
@@ -48,12 +52,12 @@
         turn++;
         List<Peer> neighbours = roles.neighbours();
         if (neighbours.isEmpty() || turn % RANDOM_ONE_IN == 0) {
-            digestTo(randomPeer(true));
+            digestTo(randomPeer(this::isInDataCentre));
         } else {
             digestTo(neighbours.get(turn % neighbours.size()));
         }
         if (state.random.nextInt(roles.aliveInDataCentre()) == 0) {
-            digestTo(randomPeer(false));
+            digestTo(randomPeer(peer -> !isInDataCentre(peer)));
         }
         probeRelays(roles);
         checkAbove(roles.relaysAbove(), roles.relayRank());
@@ -70,7 +74,7 @@
         Roles roles = state.roles();
         Announce announce = announce();
         if (state.config.strategy() == SpreadStrategy.ANNOUNCE || !pusher.push(roles)) {
-            roles.neighbours().forEach(peer -> send(peer, announce));
+            roles.neighbours().forEach(peer -> announceTo(peer, announce));
         }
         long backup = state.config.peers().relayBackupMillis();
         if (fromSource || roles.relayRank() == 0) {
@@ -135,15 +139,14 @@
         state.ask(peer, digest(peer.region(), entries), ANSWER_MILLIS, onReply, onFailure);
     }
 
-    /** A random server of the own data centre or of another one; suspects are tried when nobody is alive. */
-    Peer randomPeer(boolean ownDataCentre) {
-        String dataCentre = state.membership.self().dataCentre();
+    /** A random server that the predicate accepts; suspects are tried when nobody is alive. */
+    Peer randomPeer(Predicate<Peer> accepts) {
         Peer alive = null;
         Peer suspect = null;
         int aliveCount = 0;
         int suspectCount = 0;
         for (Peer peer : state.membership.peers()) {
-            if (peer.dataCentre().equals(dataCentre) != ownDataCentre) {
+            if (!accepts.test(peer)) {
                 continue;
             }
             if (state.membership.isAlive(peer)) {
@@ -159,6 +162,14 @@
         return trySuspect ? suspect : alive;
     }
 
+    boolean isInDataCentre(Peer peer) {
+        return peer.dataCentre().equals(state.membership.self().dataCentre());
+    }
+
+    boolean isInRegion(Peer peer) {
+        return peer.region().equals(state.membership.self().region());
+    }
+
     private void seeds() {
         List<String> seeds = state.config.peers().seedAddresses();
         if (!seeds.isEmpty()) {
@@ -239,7 +250,7 @@
     }
 
     private void announceInRegion(Roles roles, Announce announce) {
-        inRegion(roles).values().forEach(relays -> relays.forEach(peer -> send(peer, announce)));
+        inRegion(roles).values().forEach(relays -> relays.forEach(peer -> announceTo(peer, announce)));
     }
 
     private Map<String, List<Peer>> inRegion(Roles roles) {
@@ -253,12 +264,16 @@
         String own = state.membership.self().region();
         state.roles().relaysByRegion().forEach((region, relays) -> {
             if (!region.equals(own) && relay < relays.size()) {
-                send(relays.get(relay), announce);
+                announceTo(relays.get(relay), announce);
             }
         });
     }
 
-    private void send(Peer peer, Announce announce) {
+    /** Announces a version unless the peer is known to hold it. */
+    private void announceTo(Peer peer, Announce announce) {
+        if (peer.seenRevision() >= announce.revision()) {
+            return;
+        }
         state.ask(peer, announce, ANSWER_MILLIS, reply -> {
             if (reply instanceof UpToDate other) {
                 compare(other.revision(), other.hash(), peer);
@@ -285,6 +300,7 @@
         if (revision > 0) {
             watcher.peerHasVersion();
         }
+        peer.sawRevision(revision);
         puller.consider(new Holder(revision, hash, peer.server(), peer.address()), delayOf(peer));
     }
 
@@ -296,7 +312,7 @@
         }
         boolean sameRegion = peer.region().equals(self.region());
         int rank = sameRegion ? state.roles().relayRank() : state.roles().regionRelayRank();
-        return state.config.peers().relayBackupMillis() * Math.min(rank, 2);
+        return state.config.peers().relayBackupMillis() * Math.min(rank, MAX_BACKUPS);
     }
 
     private String regionOf(String server) {
