--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -13,6 +13,7 @@
 import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.scenario.ScenarioCommand;
+import io.jaywick.cli.standin.StandinCommand;
 import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
@@ -40,6 +41,7 @@
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
         commands.add(new ScenarioCommand());
+        commands.add(new StandinCommand());
         commands.add(new StatusCommand());
         return commands;
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/limits/QuotaServiceTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/limits/QuotaServiceTestCase.java
@@ -89,6 +89,7 @@
                 members,
                 (oldest, newest) -> false,
                 scheduler,
+                () -> scheduler.now(TimeUnit.NANOSECONDS),
                 new Random(1));
         scheduler.advanceTimeBy(Duration.ofNanos(TimeUnit.MILLISECONDS.toNanos(1)));
         DataCentre place = new DataCentre("d", "r", true);
