--- a/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/DemandMeter.java
@@ -14,7 +14,7 @@
     private static final int SHORT_PARTS = 8;
 
     /** Fewer calls than this in the short window say little about the rate. */
-    private static final long SHORT_MINIMUM = 4;
+    private static final long SHORT_MINIMUM = 32;
 
     /**
      * From this many calls in a window on, an eighth of it with less than half the rate means that demand has fallen:
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
@@ -18,6 +18,9 @@
     /** Receivers with a line per party; a request beyond it is answered with no quota. */
     static final int MAX_LINES = 1_024;
 
+    /** Fewer calls are not taken from a receiver for the sake of others. */
+    private static final int MIN_TAKEN = 2;
+
     private final long periodNanos;
     private final Map<String, Line> lines = new HashMap<>();
     private final List<Rest> resting = new ArrayList<>();
@@ -112,7 +115,9 @@
         if (target < held) {
             // Quota that nobody else lacks stays with the receiver, whose next burst may need it.
             target = (int) Math.max(target, Math.min(held, held - lacking(line, own, fair, windowNanos, nowNanos)));
-            if (target == held) {
+            // A receiver is not asked for a few calls, which would cost two messages whenever a demand changes.
+            boolean small = held - target < Math.max(MIN_TAKEN, held / 8) && overdrawn(own.share) == 0;
+            if (target == held || small) {
                 return answer(line, requestId, held, 0, nowNanos);
             }
             // The receiver may miss the answer and use all that it held until the end of its last grant.
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
@@ -16,6 +16,12 @@
     /** The sliding window is longer by up to this part of itself, in exchange for fixed memory. */
     private static final int COUNTER_BUCKETS = 128;
 
+    /** A surplus below this part of the need is kept, so that small changes of demand cost no messages. */
+    private static final int SURPLUS_PART = 4;
+
+    /** A holder that could not give all is asked for this part of what is missing. */
+    private static final int MISSING_PARTS = 4;
+
     private final String party;
     private final long periodNanos;
     private final WindowCounter used;
@@ -147,26 +153,19 @@
             return List.of();
         }
         int free = ledger.free(share, windowNanos(), nowNanos);
-        int remaining = Math.max(0, demand.wantedCalls(limitCalls, nowNanos) - free);
-        int remainingKept = Math.max(0, kept - free);
-        List<Ask> asks = new ArrayList<>();
-        Map<String, Ask> wants = new LinkedHashMap<>();
-        for (String holder : holders) {
-            int available = remainingKept == 0 ? 0 : shareOf.applyAsInt(holder);
-            int want = Math.min(remaining, available);
-            int keep = Math.min(remainingKept, available);
-            if (keep > 0) {
-                ReceiverLine line = lines.computeIfAbsent(holder, name -> new ReceiverLine(periodNanos));
-                wants.put(holder, new Ask(holder, want, keep));
-                remaining -= line.expected(want);
-                remainingKept -= line.expected(keep);
-            }
+        Map<String, Integer> keeps = split(Math.max(0, kept - free), holders, shareOf, nowNanos);
+        Map<String, Integer> wants =
+                split(Math.max(0, demand.wantedCalls(limitCalls, nowNanos) - free), holders, shareOf, nowNanos);
+        for (String holder : keeps.keySet()) {
+            lines.computeIfAbsent(holder, name -> new ReceiverLine(periodNanos));
         }
+        List<Ask> asks = new ArrayList<>();
         Iterator<Map.Entry<String, ReceiverLine>> iterator = lines.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, ReceiverLine> entry = iterator.next();
             ReceiverLine line = entry.getValue();
-            Ask ask = wants.getOrDefault(entry.getKey(), new Ask(entry.getKey(), 0, 0));
+            int keep = keeps.getOrDefault(entry.getKey(), 0);
+            Ask ask = new Ask(entry.getKey(), wants.getOrDefault(entry.getKey(), 0), keep);
             if (line.isDue(ask.wantCalls(), windowNanos(), nowNanos)) {
                 asks.add(ask);
             } else if (ask.keptCalls() == 0 && line.isIdle(nowNanos)) {
@@ -176,6 +175,38 @@
         return asks;
     }
 
+    /**
+     * Divides calls over the holders. Each keeps what it lent, as long as the sum is not too large; what is missing is
+     * asked of the holders that have not refused, and a part of it of each that has.
+     */
+    private Map<String, Integer> split(int calls, List<String> holders, ToIntFunction<String> shareOf, long nowNanos) {
+        Map<String, Integer> wants = new LinkedHashMap<>();
+        long lent = 0;
+        for (ReceiverLine line : lines.values()) {
+            lent += line.held(nowNanos);
+        }
+        boolean surplus = lent > calls + Math.max(2, calls / SURPLUS_PART);
+        int remaining = calls;
+        long missing = Math.max(0, calls - lent);
+        for (String holder : holders) {
+            ReceiverLine line = lines.get(holder);
+            int held = line == null ? 0 : line.held(nowNanos);
+            int want = surplus ? Math.min(held, remaining) : held;
+            if (missing > 0) {
+                boolean refused = line != null && line.isLacking();
+                long more = refused ? missing / MISSING_PARTS + 1 : missing;
+                int raised = (int) Math.max(held, Math.min(shareOf.applyAsInt(holder), held + more));
+                missing -= refused ? 0 : raised - held;
+                want = raised;
+            }
+            remaining -= want;
+            if (want > 0) {
+                wants.put(holder, want);
+            }
+        }
+        return wants;
+    }
+
     /** Records a request that is about to be sent and returns its line. */
     ReceiverLine send(Ask ask, long requestId, long nowNanos) {
         ReceiverLine line = lines.get(ask.holder());
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
@@ -22,6 +22,10 @@
     private static final long MIN_PACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private static final int PACES_PER_WINDOW = 8;
+
+    /** Periods between two requests to a holder that has nothing to give. */
+    private static final long EMPTY_PERIODS = 2;
+
     private static final int MAX_DOUBLINGS = 16;
 
     private final long periodNanos;
@@ -41,6 +45,7 @@
     private int fruitless;
     private int lastWanted;
     private int lastGranted;
+    private boolean lacked;
 
     ReceiverLine(long periodNanos) {
         this.periodNanos = periodNanos;
@@ -77,9 +82,9 @@
         return steps.isEmpty() ? endNanos : Math.min(endNanos, steps.peek().usableNanos);
     }
 
-    /** Calls that the planner may expect from the holder; as many as wanted while it has not answered otherwise. */
-    int expected(int wanted) {
-        return answered && lastGranted < lastWanted ? Math.min(wanted, lastGranted) : wanted;
+    /** True when the holder gave less than was asked of it. */
+    boolean isLacking() {
+        return lacked;
     }
 
     /** Tells whether a request that asks for this many calls is due. */
@@ -92,20 +97,20 @@
         if (pending || !answered) {
             return age >= timeoutNanos();
         }
-        if (age >= periodNanos / 2 || confirmDue) {
+        if (confirmDue || (held > 0 && age >= periodNanos / 2) || age >= EMPTY_PERIODS * periodNanos) {
             return true;
         }
         long pace = Math.max(MIN_PACE_NANOS, windowNanos / PACES_PER_WINDOW);
-        boolean more = wanted > lastWanted + lastWanted / 8 && wanted > held;
+        boolean more = wanted > lastWanted + Math.max(2, lastWanted / 4) && wanted > held;
         // The holder keeps quota back for a receiver that it believes to want more.
         boolean gone = wanted == 0 && lastWanted > 0;
-        boolean less = gone || wanted < held - Math.max(1, held / 4) && wanted < lastWanted;
+        boolean less = gone || wanted < held - Math.max(2, held / 4) && wanted < lastWanted;
         if (more || less) {
             return age >= pace;
         }
         boolean lacking = wanted > held && lastGranted < lastWanted;
-        boolean surplus = wanted < held - Math.max(1, held / 4);
-        return (lacking || surplus) && age >= Math.min(pace << Math.min(fruitless, MAX_DOUBLINGS), periodNanos / 4);
+        boolean surplus = wanted < held - Math.max(2, held / 4);
+        return (lacking || surplus) && age >= pace << Math.min(fruitless, MAX_DOUBLINGS);
     }
 
     /**
@@ -118,7 +123,7 @@
         if (kept < held - Math.max(1, held / 4) || kept == 0) {
             trim(kept, idleBudget, nowNanos);
         }
-        boolean changed = Math.abs(wanted - lastWanted) > Math.max(1, lastWanted / 8);
+        boolean changed = Math.abs(wanted - lastWanted) > Math.max(2, lastWanted / 4);
         fruitless = changed ? 0 : fruitless + 1;
         pending = true;
         answered = false;
@@ -149,6 +154,7 @@
         answeredId = requestId;
         idleReleased = 0;
         lastGranted = grant.calls();
+        lacked = lastGranted < lastWanted;
         int held = held(nowNanos);
         long period = Math.min(periodNanos, TimeUnit.MILLISECONDS.toNanos(grant.periodMillis()));
         endNanos = sentNanos + period;
@@ -158,8 +164,10 @@
             trim(grant.calls(), idleBudget, nowNanos);
             return true;
         }
-        fruitless = 0;
         int increase = grant.calls() - held;
+        if (increase > Math.max(2, held / 4)) {
+            fruitless = 0;
+        }
         int immediate = Math.max(0, Math.min(increase, grant.readyCalls()));
         ready += immediate;
         if (increase > immediate) {
