--- a/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/HolderLedger.java
@@ -116,7 +116,7 @@
             // Quota that nobody else lacks stays with the receiver, whose next burst may need it.
             target = (int) Math.max(target, Math.min(held, held - lacking(line, own, fair, windowNanos, nowNanos)));
             // A receiver is not asked for a few calls, which would cost two messages whenever a demand changes.
-            boolean small = held - target < Math.max(MIN_TAKEN, held / 8) && overdrawn(own.share) == 0;
+            boolean small = held - target < Math.max(MIN_TAKEN, held / 3) && overdrawn(own.share) == 0;
             if (target == held || small) {
                 return answer(line, requestId, held, 0, nowNanos);
             }
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/ReceiverLine.java
@@ -22,11 +22,8 @@
     private static final long MIN_PACE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
     private static final int PACES_PER_WINDOW = 8;
-
-    /** Periods between two requests to a holder that has nothing to give. */
-    private static final long EMPTY_PERIODS = 2;
-
     private static final int MAX_DOUBLINGS = 16;
+    private static final int SETTLE_PACES = 4;
 
     private final long periodNanos;
     private final Deque<Step> steps = new ArrayDeque<>();
@@ -97,7 +94,7 @@
         if (pending || !answered) {
             return age >= timeoutNanos();
         }
-        if (confirmDue || (held > 0 && age >= periodNanos / 2) || age >= EMPTY_PERIODS * periodNanos) {
+        if (confirmDue || age >= periodNanos / 2) {
             return true;
         }
         long pace = Math.max(MIN_PACE_NANOS, windowNanos / PACES_PER_WINDOW);
@@ -110,6 +107,8 @@
         }
         boolean lacking = wanted > held && lastGranted < lastWanted;
         boolean surplus = wanted < held - Math.max(2, held / 4);
+        // A line that changed size a moment ago is likely to change back while other receivers adapt.
+        pace = held > 0 && lacking ? pace * SETTLE_PACES : pace;
         return (lacking || surplus) && age >= pace << Math.min(fruitless, MAX_DOUBLINGS);
     }
 
@@ -165,7 +164,7 @@
             return true;
         }
         int increase = grant.calls() - held;
-        if (increase > Math.max(2, held / 4)) {
+        if (increase > Math.max(2, held / 2)) {
             fruitless = 0;
         }
         int immediate = Math.max(0, Math.min(increase, grant.readyCalls()));
