--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TestFleet.java
@@ -45,6 +45,7 @@
     List<String> seeds = List.of();
     String sourceRegion = "r1";
     boolean countBytes;
+    long crossRegionBytes;
     private final FrameCodec codec = new FrameCodec();
     private final Random random;
     private long incarnation = 1;
@@ -218,6 +219,9 @@
                     && (stuck.contains(peer.server) || !delivers.test(message) || !connected.test(this, peer))) {
                 return reply;
             }
+            if (peer != null && !peer.region.equals(region)) {
+                countAcross(message);
+            }
             long latency = peer != null && peer.region.equals(region) ? LATENCY_MILLIS : REGION_LATENCY_MILLIS;
             time.schedule(
                     () -> {
@@ -228,6 +232,9 @@
                         }
                         peer.handlers.handle(message).whenComplete((answer, failure) -> {
                             peer.count(answer);
+                            if (!peer.region.equals(region)) {
+                                countAcross(answer);
+                            }
                             time.schedule(() -> reply.complete(answer), latency, TimeUnit.MILLISECONDS);
                         });
                     },
@@ -236,6 +243,12 @@
             return reply;
         }
 
+        private void countAcross(Message message) {
+            if (countBytes) {
+                crossRegionBytes += codec.encode(FrameCodec.CURRENT, 1, message).length;
+            }
+        }
+
         private void count(Message message) {
             if (countBytes) {
                 bytes += codec.encode(FrameCodec.CURRENT, 1, message).length;
