--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -3,6 +3,7 @@
 import java.io.PrintStream;
 import java.util.List;
 
+import io.jaywick.cli.bench.CallsBenchCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
@@ -22,6 +23,6 @@
     }
 
     private static List<Command> commands() {
-        return List.of(new CheckCommand(), new GenerateCommand(), new PackCommand());
+        return List.of(new CallsBenchCommand(), new CheckCommand(), new GenerateCommand(), new PackCommand());
     }
 }
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/AddedLatency.java
@@ -0,0 +1,74 @@
+package io.jaywick.cli.bench;
+
+import java.util.Map;
+
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.standin.target.CallFleet;
+import io.jaywick.standin.target.TableBuilder;
+import io.jaywick.standin.target.TargetBehaviour;
+import io.micrometer.tracing.Tracer;
+import org.HdrHistogram.Histogram;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Latency that two hops add to a call, against the same call sent straight to the target. Both kinds alternate, so that
+ * they meet the same noise.
+ */
+final class AddedLatency {
+
+    private static final int WARM_CALLS = 12_000;
+    private static final int CALLS = 12_000;
+    private static final int CONCURRENCY = 2;
+    private static final long MAX_NANOS = 10_000_000_000L;
+    private static final double P99 = 99;
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
+    private AddedLatency() {}
+
+    /** Returns the difference of the 99th percentiles in milliseconds. */
+    static double p99Millis(Scheduler timers, long seed) {
+        Snapshot table = new TableBuilder()
+                .dataCentre("a1", "a", true)
+                .service("catalogue", 64, 64, 5_000)
+                .server("caller", "a1", "idle")
+                .service("idle", 1, 1, 5_000)
+                .server("s1", "a1", "catalogue")
+                .route("read", CallsScenario.READ, true, Map.of("catalogue", 100))
+                .party(CallsScenario.PARTY, 100, 1)
+                .build(1);
+        TargetBehaviour behaviour = new TargetBehaviour(64, 64, 0, 1, 0, 100);
+        try (BenchCaller client = new BenchCaller();
+                CallFleet fleet =
+                        new CallFleet(table, behaviour, CallsScenario.SETTINGS, timers, null, Tracer.NOOP, seed)) {
+            String through = fleet.node("caller").egressUrl() + CallsScenario.READ;
+            String straight = "http://" + fleet.node("s1").target().address() + CallsScenario.READ;
+            Histogram throughNanos = new Histogram(MAX_NANOS, 3);
+            Histogram straightNanos = new Histogram(MAX_NANOS, 3);
+            measure(client, through, straight, WARM_CALLS, new Histogram(MAX_NANOS, 3), new Histogram(MAX_NANOS, 3));
+            measure(client, through, straight, CALLS, throughNanos, straightNanos);
+            return (throughNanos.getValueAtPercentile(P99) - straightNanos.getValueAtPercentile(P99)) / NANOS_PER_MILLI;
+        }
+    }
+
+    private static void measure(
+            BenchCaller client, String through, String straight, int calls, Histogram a, Histogram b) {
+        Flux.range(0, calls)
+                .flatMap(i -> i % 2 == 0 ? timed(client, through, i, a) : timed(client, straight, i, b), CONCURRENCY)
+                .blockLast();
+    }
+
+    private static Mono<Void> timed(BenchCaller client, String url, int number, Histogram into) {
+        return Mono.defer(() -> {
+                    long start = System.nanoTime();
+                    return client.send(url, "m" + number, null, null).doOnNext(reply -> {
+                        long nanos = System.nanoTime() - start;
+                        synchronized (into) {
+                            into.recordValue(Math.min(MAX_NANOS, nanos));
+                        }
+                    });
+                })
+                .then();
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/BenchCaller.java
@@ -0,0 +1,60 @@
+package io.jaywick.cli.bench;
+
+import java.time.Duration;
+
+import io.jaywick.standin.target.TargetServer;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import reactor.core.publisher.Mono;
+import reactor.netty.ByteBufMono;
+import reactor.netty.http.client.HttpClient;
+import reactor.netty.http.client.HttpClientResponse;
+import reactor.netty.resources.ConnectionProvider;
+
+/** HTTP client of the benchmark's callers. */
+final class BenchCaller implements AutoCloseable {
+
+    private static final int CONNECTIONS = 500;
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final String[] INHERITED = {"jaywick-call-id", "jaywick-depth", "jaywick-deadline-millis"};
+
+    /** Status and headers of an answer. */
+    record Reply(int status, HttpHeaders headers) {}
+
+    private final ConnectionProvider connections = ConnectionProvider.builder("bench")
+            .maxConnections(CONNECTIONS)
+            .pendingAcquireMaxCount(-1)
+            .lifo()
+            .build();
+    private final HttpClient client = HttpClient.create(connections).disableRetry(true);
+
+    Mono<Reply> send(String url, String request, String key, HttpHeaders inherited) {
+        return client.request(HttpMethod.GET)
+                .uri(url)
+                .send((out, outbound) -> {
+                    HttpHeaders headers = out.requestHeaders();
+                    headers.set("jaywick-party", CallsScenario.PARTY);
+                    headers.set(TargetServer.REQUEST, request);
+                    if (key != null) {
+                        headers.set("idempotency-key", key);
+                    }
+                    for (String name : INHERITED) {
+                        if (inherited != null && inherited.contains(name)) {
+                            headers.set(name, inherited.get(name));
+                        }
+                    }
+                    return outbound;
+                })
+                .responseSingle(BenchCaller::reply)
+                .timeout(TIMEOUT);
+    }
+
+    @Override
+    public void close() {
+        connections.dispose();
+    }
+
+    private static Mono<Reply> reply(HttpClientResponse response, ByteBufMono body) {
+        return body.then(Mono.fromSupplier(() -> new Reply(response.status().code(), response.responseHeaders())));
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/CallsRun.java
@@ -0,0 +1,191 @@
+package io.jaywick.cli.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.standin.target.CallFleet;
+import io.jaywick.standin.target.TargetModel;
+import io.jaywick.standin.target.TargetServer;
+import io.micrometer.tracing.Tracer;
+import io.netty.handler.codec.http.HttpHeaders;
+import org.HdrHistogram.Histogram;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/** Takes one strategy through quiet load, a data centre that leaves and returns, a crash, and failing leaves. */
+final class CallsRun {
+
+    private static final double P99 = 99;
+    private static final double MICROS_PER_MILLI = 1_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final int OK = 200;
+    /** Each request holds a slot at every level; more requests at once would exceed the slots of all targets. */
+    private static final int DEEP_CONCURRENCY = 2;
+
+    private static final int UNAVAILABLE = 503;
+
+    private final boolean naive;
+    private final Scheduler timers;
+    private final long seed;
+    private CallsStrategy strategy;
+
+    CallsRun(boolean naive, Scheduler timers, long seed) {
+        this.naive = naive;
+        this.timers = timers;
+        this.seed = seed;
+    }
+
+    CallsFigures run() {
+        Snapshot before = CallsScenario.table(1, true);
+        CallFleet.NestedFactory nested = (server, url) -> headers -> nested(server, headers);
+        try (BenchCaller client = new BenchCaller();
+                CallFleet fleet = new CallFleet(
+                        before, CallsScenario.BEHAVIOUR, CallsScenario.SETTINGS, timers, nested, Tracer.NOOP, seed)) {
+            strategy = naive ? new NaiveStrategy(fleet, client, seed) : new JaywickStrategy(fleet, client);
+            return run(fleet, before);
+        }
+    }
+
+    private CallsFigures run(CallFleet fleet, Snapshot before) {
+        List<String> callers = new ArrayList<>();
+        for (CallFleet.Node node : fleet.nodes()) {
+            callers.add(node.server().name());
+            strategy.table(node.server().name(), before);
+        }
+        CallsLoad load = new CallsLoad(strategy, callers, timers, seed);
+        load.run(CallsScenario.WARM_MILLIS);
+        load.settle();
+        long[] runsBefore = runsByService(fleet);
+        Histogram quiet = load.run(CallsScenario.QUIET_MILLIS);
+        load.settle();
+        double weightError = weightError(runsBefore, runsByService(fleet));
+
+        long outNanos = System.nanoTime();
+        spread(callers, CallsScenario.table(2, false));
+        Histogram move = load.run(CallsScenario.OUT_MILLIS);
+        long newWork = lastStart(fleet, outNanos);
+        for (CallFleet.Node node : fleet.nodes()) {
+            if (node.server().dataCentre().name().equals(CallsScenario.MOVED)) {
+                node.target().model().turnCold();
+            }
+        }
+        spread(callers, CallsScenario.table(3, true));
+        move.add(load.run(CallsScenario.RETURN_MILLIS));
+        load.settle();
+
+        timers.schedule(
+                () -> fleet.nodes().get(0).target().crash(), CallsScenario.CRASH_MILLIS / 4, TimeUnit.MILLISECONDS);
+        load.run(CallsScenario.CRASH_MILLIS);
+        load.settle();
+        double amplification = amplification(fleet, callers);
+        double overload = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            overload = Math.max(overload, node.target().model().worstColdOverload());
+        }
+        return new CallsFigures(
+                quiet.getValueAtPercentile(P99) / MICROS_PER_MILLI,
+                move.getValueAtPercentile(P99) / MICROS_PER_MILLI,
+                load.failedIdempotent(),
+                ranTwice(fleet, load),
+                overload,
+                amplification,
+                weightError,
+                newWork);
+    }
+
+    private void spread(List<String> callers, Snapshot table) {
+        Random random = new Random(seed + table.revision());
+        for (String caller : callers) {
+            timers.schedule(
+                    () -> strategy.table(caller, table),
+                    random.nextLong(CallsScenario.SPREAD_MILLIS),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** A target of the deep route calls the next level; the last level fails. */
+    private Mono<Integer> nested(Server server, HttpHeaders headers) {
+        String request = headers.get(TargetServer.REQUEST, "");
+        if (!request.startsWith("deep-")) {
+            return Mono.just(OK);
+        }
+        String[] parts = request.split("-");
+        int level = Integer.parseInt(parts[2]);
+        int levels = naive ? CallsScenario.NAIVE_DEEP_LEVELS : CallsScenario.DEEP_LEVELS;
+        if (level >= levels) {
+            return Mono.just(UNAVAILABLE);
+        }
+        String next = "deep-" + parts[1] + "-" + (level + 1);
+        String path = level + 1 == levels ? CallsScenario.LEAF : CallsScenario.DEEP;
+        return strategy.call(server.name(), path, next, null, headers)
+                .map(result -> result == CallsStrategy.Result.ANSWERED ? OK : UNAVAILABLE);
+    }
+
+    private double amplification(CallFleet fleet, List<String> callers) {
+        long before = arrivals(fleet);
+        int requests = naive ? CallsScenario.NAIVE_DEEP_REQUESTS : CallsScenario.DEEP_REQUESTS;
+        int levels = naive ? CallsScenario.NAIVE_DEEP_LEVELS : CallsScenario.DEEP_LEVELS;
+        Flux.range(0, requests)
+                .flatMap(
+                        i -> strategy.call(
+                                callers.get(i % callers.size()), CallsScenario.DEEP, "deep-" + i + "-1", null, null),
+                        DEEP_CONCURRENCY)
+                .blockLast();
+        return (double) (arrivals(fleet) - before) / (requests * levels);
+    }
+
+    private static long arrivals(CallFleet fleet) {
+        long sum = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            sum += node.target().model().runs().size() + node.target().model().shed();
+        }
+        return sum;
+    }
+
+    private static long[] runsByService(CallFleet fleet) {
+        long[] runs = new long[2];
+        for (CallFleet.Node node : fleet.nodes()) {
+            for (TargetModel.Run run : node.target().model().runs()) {
+                if (run.request().startsWith("r")) {
+                    runs[node.server().service().equals("catalogue") ? 0 : 1]++;
+                }
+            }
+        }
+        return runs;
+    }
+
+    private static double weightError(long[] before, long[] after) {
+        double catalogue = after[0] - before[0];
+        double herdbook = after[1] - before[1];
+        return Math.abs(100 * catalogue / (catalogue + herdbook) - CallsScenario.CATALOGUE_PERCENT);
+    }
+
+    private static long lastStart(CallFleet fleet, long outNanos) {
+        long last = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            if (node.server().dataCentre().name().equals(CallsScenario.MOVED)) {
+                for (TargetModel.Run run : node.target().model().runs()) {
+                    last = Math.max(last, (run.startNanos() - outNanos) / NANOS_PER_MILLI);
+                }
+            }
+        }
+        return last;
+    }
+
+    private static int ranTwice(CallFleet fleet, CallsLoad load) {
+        int twice = 0;
+        for (String request : load.writes()) {
+            int runs = 0;
+            for (CallFleet.Node node : fleet.nodes()) {
+                runs += node.target().model().runsOf(request);
+            }
+            twice += runs > 1 ? 1 : 0;
+        }
+        return twice;
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/CallsScenario.java
@@ -0,0 +1,71 @@
+package io.jaywick.cli.bench;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.jaywick.core.settings.CallsSettings;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.standin.target.TableBuilder;
+import io.jaywick.standin.target.TargetBehaviour;
+
+/** Table, targets and timing that both strategies of the benchmark meet. */
+final class CallsScenario {
+
+    static final String PARTY = "vet";
+    static final String READ = "/read";
+    static final String WRITE = "/write";
+    static final String DEEP = "/deep";
+    /** Last level of the deep calls; its own service, because its targets shed everything. */
+    static final String LEAF = "/leaf";
+    /** Data centre that leaves and returns. */
+    static final String MOVED = "a2";
+
+    static final int CATALOGUE_PERCENT = 70;
+    static final int CALLS_PER_SECOND = 1_200;
+    static final int WRITE_EVERY = 5;
+    static final long WARM_MILLIS = 2_000;
+    static final long QUIET_MILLIS = 3_000;
+    static final long OUT_MILLIS = 2_500;
+    static final long RETURN_MILLIS = 4_000;
+    static final long CRASH_MILLIS = 1_500;
+    /** An edit reaches the nodes spread over this time. */
+    static final long SPREAD_MILLIS = 1_000;
+
+    static final int DEEP_LEVELS = 30;
+    static final int DEEP_REQUESTS = 20;
+    /** Three retries at each of 30 levels would make 4^30 calls; the naive strategy is measured with 3 levels. */
+    static final int NAIVE_DEEP_LEVELS = 3;
+
+    static final int NAIVE_DEEP_REQUESTS = 4;
+
+    static final TargetBehaviour BEHAVIOUR = new TargetBehaviour(12, 3, 20, 4, 2, 300);
+    static final CallsSettings SETTINGS = new CallsSettings(2_000, 5_000, 64, 600_000, 100_000);
+
+    private CallsScenario() {}
+
+    static Snapshot table(long revision, boolean movedIn) {
+        TableBuilder table = new TableBuilder()
+                .dataCentre("a1", "a", true)
+                .dataCentre(MOVED, "a", movedIn)
+                .dataCentre("b1", "b", true)
+                .service("catalogue", BEHAVIOUR.slots(), BEHAVIOUR.coldStartCalls(), 5_000)
+                .service("records", BEHAVIOUR.slots(), BEHAVIOUR.coldStartCalls(), 5_000)
+                .service("herdbook", BEHAVIOUR.slots(), BEHAVIOUR.coldStartCalls(), 5_000);
+        for (String dataCentre : new String[] {"a1", MOVED, "b1"}) {
+            table.server("records-" + dataCentre, dataCentre, "records");
+            for (int i = 0; i < 2; i++) {
+                table.server("catalogue-" + dataCentre + "-" + i, dataCentre, "catalogue");
+                table.server("herdbook-" + dataCentre + "-" + i, dataCentre, "herdbook");
+            }
+        }
+        Map<String, Integer> weights = new LinkedHashMap<>();
+        weights.put("catalogue", CATALOGUE_PERCENT);
+        weights.put("herdbook", 100 - CATALOGUE_PERCENT);
+        return table.route("read", READ, true, weights)
+                .route("write", WRITE, false, weights)
+                .route("deep", DEEP, true, weights)
+                .route("leaf", LEAF, true, Map.of("records", 100))
+                .party(PARTY, 100, 1)
+                .build(revision);
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/JaywickStrategy.java
@@ -0,0 +1,37 @@
+package io.jaywick.cli.bench;
+
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.standin.target.CallFleet;
+import io.netty.handler.codec.http.HttpHeaders;
+import reactor.core.publisher.Mono;
+
+/** Calls through the egress port of the node beside the caller. */
+final class JaywickStrategy implements CallsStrategy {
+
+    private static final int OK = 200;
+
+    private final CallFleet fleet;
+    private final BenchCaller client;
+
+    JaywickStrategy(CallFleet fleet, BenchCaller client) {
+        this.fleet = fleet;
+        this.client = client;
+    }
+
+    @Override
+    public Mono<Result> call(String caller, String path, String request, String key, HttpHeaders inherited) {
+        return client.send(fleet.node(caller).egressUrl() + path, request, key, inherited)
+                .map(reply -> {
+                    if (reply.status() == OK) {
+                        return Result.ANSWERED;
+                    }
+                    return "not-run".equals(reply.headers().get("jaywick-outcome")) ? Result.NOT_RUN : Result.FAILED;
+                })
+                .onErrorReturn(Result.FAILED);
+    }
+
+    @Override
+    public void table(String caller, Snapshot table) {
+        fleet.table(caller, table);
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/NaiveStrategy.java
@@ -0,0 +1,71 @@
+package io.jaywick.cli.bench;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Service;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.snapshot.WeightedService;
+import io.jaywick.standin.target.CallFleet;
+import io.netty.handler.codec.http.HttpHeaders;
+import reactor.core.publisher.Mono;
+
+/** Naive version: round robin over the targets in service, straight to the target, every failure retried 3 times. */
+final class NaiveStrategy implements CallsStrategy {
+
+    private static final int OK = 200;
+    private static final int RETRIES = 3;
+
+    private final CallFleet fleet;
+    private final BenchCaller client;
+    private final Random random;
+    private final Map<String, Snapshot> tables = new ConcurrentHashMap<>();
+    private final AtomicInteger next = new AtomicInteger();
+
+    NaiveStrategy(CallFleet fleet, BenchCaller client, long seed) {
+        this.fleet = fleet;
+        this.client = client;
+        this.random = new Random(seed);
+    }
+
+    @Override
+    public Mono<Result> call(String caller, String path, String request, String key, HttpHeaders inherited) {
+        Snapshot table = tables.get(caller);
+        return Mono.defer(() -> client.send(url(table, path), request, key, inherited))
+                .filter(reply -> reply.status() == OK)
+                .switchIfEmpty(Mono.error(new IllegalStateException("call failed")))
+                .retry(RETRIES)
+                .map(reply -> Result.ANSWERED)
+                .onErrorReturn(Result.FAILED);
+    }
+
+    @Override
+    public void table(String caller, Snapshot table) {
+        tables.put(caller, table);
+    }
+
+    private String url(Snapshot table, String path) {
+        List<Server> targets = service(table, path).servers().stream()
+                .filter(server -> server.dataCentre().in())
+                .toList();
+        Server server = targets.get(Math.floorMod(next.getAndIncrement(), targets.size()));
+        return "http://" + fleet.node(server.name()).target().address() + path;
+    }
+
+    private Service service(Snapshot table, String path) {
+        int left = random.nextInt(100);
+        Service last = null;
+        for (WeightedService weighted : table.routeFor(path).services()) {
+            last = weighted.service();
+            left -= weighted.weightPercent();
+            if (left < 0) {
+                break;
+            }
+        }
+        return last;
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks of the operators' command line.
+ */
+package io.jaywick.cli.bench;
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/TargetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/TargetState.java
@@ -6,8 +6,8 @@
 final class TargetState {
 
     private static final double LATENCY_WEIGHT = 0.2;
-    /** Calls of other nodes change within a few round trips, so that an old report counts for little. */
-    private static final long REPORT_HALF_LIFE_NANOS = 250_000_000L;
+    /** Calls of other nodes change within a few round trips, but nested calls can hold slots for a second. */
+    private static final long REPORT_HALF_LIFE_NANOS = 500_000_000L;
 
     final Server server;
     private int inFlight;
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
@@ -292,7 +292,7 @@
         } else {
             end = last;
         }
-        if (parent != null && end.result() != AttemptResult.ANSWERED) {
+        if (parent != null && (end.result() != AttemptResult.ANSWERED || end.retriedBelow())) {
             parent.retriedBelow = true;
         }
         if (end.delivered()) {
@@ -307,7 +307,7 @@
         if (!end.reason().isEmpty()) {
             response.header(CallHeaders.REASON, end.reason());
         }
-        if (end.result() != AttemptResult.ANSWERED && (attempts > 1 || end.retriedBelow())) {
+        if (end.retriedBelow() || end.result() != AttemptResult.ANSWERED && attempts > 1) {
             response.header(CallHeaders.RETRIED, "1");
         }
         if (server.isClosing()) {
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
@@ -34,6 +34,12 @@
 final class IngressCall {
 
     private static final long NANOS_PER_MILLI = 1_000_000;
+    /**
+     * A waiting nested call holds the slots of all calls above it. Without a bound, deep calls that wait for each other
+     * hold all slots until their deadlines.
+     */
+    private static final long NESTED_WAIT_NANOS = 100 * NANOS_PER_MILLI;
+
     private static final int NEW = 0;
     private static final int HOLDS_SLOT = 1;
     private static final int DONE = 2;
@@ -220,10 +226,11 @@
 
     private Mono<CallEnd> receive(HttpClientResponse answer, ByteBufFlux content) {
         int status = answer.status().code();
-        boolean shed = status == Relay.STATUS_UNAVAILABLE;
+        // A target that passes on the failure of a nested call is not overloaded itself.
+        boolean shed = status == Relay.STATUS_UNAVAILABLE && !active.retriedBelow;
         if (Answer.isHeld(method, answer)) {
             return Answer.receive(method, answer, content).map(whole -> {
-                wholeAnswer(status);
+                wholeAnswer(status, shed);
                 return CallEnd.answered(whole, shed, active.retriedBelow && status >= 500);
             });
         }
@@ -237,13 +244,13 @@
         response.header(CallHeaders.OUTCOME, outcome.headerValue());
         response.header(CallHeaders.LOAD, server.load().headerValue());
         return response.send(content.retain()).then().then(Mono.fromSupplier(() -> {
-            wholeAnswer(status);
+            wholeAnswer(status, shed);
             return CallEnd.streamed(0);
         }));
     }
 
-    private void wholeAnswer(int status) {
-        if (status == Relay.STATUS_UNAVAILABLE) {
+    private void wholeAnswer(int status, boolean shed) {
+        if (shed) {
             server.admission().targetRefused();
         } else if (status < 500) {
             server.admission().answered(route.name(), context.nanoTime().getAsLong() - dispatchNanos);
@@ -382,7 +389,12 @@
         private final MonoSink<Void> sink;
 
         CallWaiter(MonoSink<Void> sink) {
-            super(party.name(), party.agreedSharePercent(), route.importance(), party.importance(), deadlineNanos);
+            super(
+                    party.name(),
+                    party.agreedSharePercent(),
+                    route.importance(),
+                    party.importance(),
+                    depth == 0 ? deadlineNanos : Math.min(deadlineNanos, startNanos + NESTED_WAIT_NANOS));
             this.sink = sink;
         }
 
@@ -397,7 +409,8 @@
 
         @Override
         protected void refused(RefusalReason why) {
-            sink.error(new RefusedException(why));
+            boolean waitedTooLong = why == RefusalReason.DEADLINE && remainingNanos() > 0;
+            sink.error(new RefusedException(waitedTooLong ? RefusalReason.OVERLOADED : why));
         }
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/UpstreamClient.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/UpstreamClient.java
@@ -10,7 +10,9 @@
 import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.concurrent.FastThreadLocalThread;
 import reactor.core.publisher.Mono;
+import reactor.core.scheduler.NonBlocking;
 import reactor.netty.ByteBufFlux;
 import reactor.netty.http.client.HttpClient;
 import reactor.netty.http.client.HttpClientResponse;
@@ -27,22 +29,37 @@
     /** Addresses come from the membership view, which may be wrong; old ones are dropped all at once. */
     private static final int MAX_CLIENTS = 8_192;
 
-    private final ConnectionProvider connections;
-    private final HttpClient base;
-    private final Map<String, HttpClient> clients = new ConcurrentHashMap<>();
+    private final String name;
+    private final int connectionsPerAddress;
+    /**
+     * One pool for each event loop: a connection of another loop would cost two thread switches per exchange, which
+     * measured as more than half of the added latency.
+     */
+    private final Map<Thread, Pool> pools = new ConcurrentHashMap<>();
+
+    private final Pool shared;
+
+    private record Pool(ConnectionProvider connections, HttpClient base, Map<String, HttpClient> clients) {}
 
     UpstreamClient(String name, int connectionsPerAddress) {
-        this.connections = ConnectionProvider.builder(name)
+        this.name = name;
+        this.connectionsPerAddress = connectionsPerAddress;
+        this.shared = pool();
+    }
+
+    private Pool pool() {
+        ConnectionProvider connections = ConnectionProvider.builder(name)
                 .maxConnections(connectionsPerAddress)
                 .pendingAcquireMaxCount(10 * connectionsPerAddress)
                 .pendingAcquireTimeout(ACQUIRE_TIMEOUT)
                 .maxIdleTime(MAX_IDLE)
                 .lifo()
                 .build();
-        this.base = HttpClient.create(connections)
+        HttpClient base = HttpClient.create(connections)
                 .disableRetry(true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true);
+        return new Pool(connections, base, new ConcurrentHashMap<>());
     }
 
     /**
@@ -80,7 +97,10 @@
 
     @Override
     public void close() {
-        connections.dispose();
+        shared.connections().dispose();
+        for (Pool pool : pools.values()) {
+            pool.connections().dispose();
+        }
     }
 
     private static final class Progress {
@@ -101,16 +121,21 @@
     }
 
     private HttpClient client(String address) {
-        HttpClient found = clients.get(address);
+        Thread thread = Thread.currentThread();
+        // Reactor Netty marks the threads of its event loops as non-blocking Netty threads.
+        Pool pool = thread instanceof FastThreadLocalThread && thread instanceof NonBlocking
+                ? pools.computeIfAbsent(thread, loop -> pool())
+                : shared;
+        HttpClient found = pool.clients().get(address);
         if (found != null) {
             return found;
         }
-        if (clients.size() >= MAX_CLIENTS) {
-            clients.clear();
+        if (pool.clients().size() >= MAX_CLIENTS) {
+            pool.clients().clear();
         }
-        return clients.computeIfAbsent(address, text -> {
+        return pool.clients().computeIfAbsent(address, text -> {
             InetSocketAddress remote = Addresses.parse(text);
-            return base.remoteAddress(() -> remote);
+            return pool.base().remoteAddress(() -> remote);
         });
     }
 }
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/CallFleet.java
@@ -0,0 +1,182 @@
+package io.jaywick.standin.target;
+
+import java.time.InstantSource;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+
+import io.jaywick.core.limits.CallQuota;
+import io.jaywick.core.membership.Member;
+import io.jaywick.core.membership.MemberState;
+import io.jaywick.core.membership.MembershipView;
+import io.jaywick.core.record.CallUsage;
+import io.jaywick.core.record.DispatchUsage;
+import io.jaywick.core.record.UsageObserver;
+import io.jaywick.core.settings.CallsSettings;
+import io.jaywick.core.snapshot.Server;
+import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.node.proxy.NodePlace;
+import io.jaywick.node.proxy.ProxyContext;
+import io.jaywick.node.proxy.ProxyServer;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.micrometer.tracing.Tracer;
+import reactor.core.scheduler.Scheduler;
+
+/** A proxy and a stand-in target for each server of a table, in one process on the loopback address. */
+public final class CallFleet implements AutoCloseable {
+
+    private static final String ANY_PORT = "127.0.0.1:0";
+
+    /** Settings with their defaults of the schema but a shorter ramp and drain. */
+    public static final CallsSettings SETTINGS = new CallsSettings(1_000, 2_000, 64, 600_000, 100_000);
+
+    /** The proxy and the target of one server. */
+    public record Node(Server server, ProxyServer proxy, TargetServer target, MeterRegistry meters) {
+
+        /** Base URL for the calls of the caller beside the node. */
+        public String egressUrl() {
+            return "http://127.0.0.1:" + proxy.egress().port();
+        }
+    }
+
+    private final Scheduler timers;
+    private final AtomicReference<Snapshot> snapshot = new AtomicReference<>();
+    private final Map<String, AtomicReference<Snapshot>> own = new ConcurrentHashMap<>();
+    private final Map<String, Node> nodes = new LinkedHashMap<>();
+    private final Map<String, Member> members = new ConcurrentHashMap<>();
+
+    /**
+     * Starts the fleet.
+     *
+     * @param nested nested calls of the targets, or null
+     * @param tracer spans of all nodes
+     */
+    public CallFleet(
+            Snapshot table,
+            TargetBehaviour behaviour,
+            CallsSettings settings,
+            Scheduler timers,
+            NestedFactory nested,
+            Tracer tracer,
+            long seed) {
+        this.timers = timers;
+        snapshot.set(table);
+        Random seeds = new Random(seed);
+        for (Server server : table.servers().values().stream()
+                .sorted(Comparator.comparing(Server::name))
+                .toList()) {
+            start(server, behaviour, settings, nested, tracer, seeds.nextLong());
+        }
+    }
+
+    /** Makes the nested calls of a target, which go to the egress port of its own node. */
+    @FunctionalInterface
+    public interface NestedFactory {
+
+        TargetServer.Nested of(Server server, Supplier<String> egressUrl);
+    }
+
+    public Node node(String server) {
+        return nodes.get(server);
+    }
+
+    public List<Node> nodes() {
+        return List.copyOf(nodes.values());
+    }
+
+    /** Puts a table in force on all nodes at once. */
+    public void table(Snapshot table) {
+        snapshot.set(table);
+        own.clear();
+    }
+
+    /** Puts a table in force on one node only. */
+    public void table(String server, Snapshot table) {
+        own.put(server, new AtomicReference<>(table));
+    }
+
+    @Override
+    public void close() {
+        for (Node node : nodes.values()) {
+            node.proxy().close();
+            node.target().close();
+        }
+    }
+
+    private void start(
+            Server server,
+            TargetBehaviour behaviour,
+            CallsSettings settings,
+            NestedFactory nested,
+            Tracer tracer,
+            long seed) {
+        String name = server.name();
+        TargetServer.Nested calls =
+                nested == null ? null : nested.of(server, () -> nodes.get(name).egressUrl());
+        TargetServer target = new TargetServer(name, new TargetModel(behaviour, System::nanoTime), timers, calls);
+        MeterRegistry meters = new SimpleMeterRegistry();
+        CallQuota unlimited = party -> true;
+        ProxyContext context = new ProxyContext(
+                new NodePlace(
+                        name, server.dataCentre().name(), server.dataCentre().region()),
+                () -> own.containsKey(name) ? own.get(name).get() : snapshot.get(),
+                new View(),
+                unlimited,
+                new NoUsage(),
+                settings,
+                timers,
+                System::nanoTime,
+                InstantSource.system(),
+                new Random(seed),
+                meters,
+                tracer);
+        ProxyServer proxy = new ProxyServer(context, ANY_PORT, ANY_PORT, target.address());
+        nodes.put(name, new Node(server, proxy, target, meters));
+        members.put(
+                name,
+                new Member(
+                        name,
+                        server.dataCentre().name(),
+                        server.dataCentre().region(),
+                        server.service(),
+                        ANY_PORT,
+                        "127.0.0.1:" + proxy.ingress().port(),
+                        1,
+                        MemberState.ALIVE));
+    }
+
+    private final class View implements MembershipView {
+
+        @Override
+        public List<Member> members() {
+            return List.copyOf(members.values());
+        }
+
+        @Override
+        public Optional<Member> member(String server) {
+            return Optional.ofNullable(members.get(server));
+        }
+    }
+
+    private static final class NoUsage implements UsageObserver {
+
+        @Override
+        public void callStarted() {}
+
+        @Override
+        public void callEnded(CallUsage usage) {}
+
+        @Override
+        public void dispatchStarted() {}
+
+        @Override
+        public void dispatchEnded(DispatchUsage usage) {}
+    }
+}
--- /dev/null
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/TargetServer.java
@@ -0,0 +1,180 @@
+package io.jaywick.standin.target;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.netty.channel.Channel;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+
+/**
+ * Stand-in target over HTTP. It answers with its name, the id of the request and the request's body. A request is named
+ * by the header {@code standin-request}, so that resends of the same request count as such.
+ */
+public final class TargetServer implements AutoCloseable {
+
+    /** Id by which the truth counts a request. */
+    public static final String REQUEST = "standin-request";
+    /** Overrides the service time of one request. */
+    public static final String DELAY_MILLIS = "standin-delay-millis";
+    /** Ends the connection in the middle of the answer. */
+    public static final String CUT = "standin-cut";
+    /** Size of the answer's padding in bytes, sent in chunks without a length. */
+    public static final String STREAM_BYTES = "standin-stream-bytes";
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+    private static final int CHUNK = 8_192;
+
+    /** Nested calls that a request makes before it is answered. */
+    @FunctionalInterface
+    public interface Nested {
+
+        /** Makes the calls with the headers of the request and completes with the status of the answer. */
+        Mono<Integer> call(HttpHeaders headers);
+    }
+
+    private final String name;
+    private final TargetModel model;
+    private final Scheduler timers;
+    private final Nested nested;
+    private volatile Running running;
+    private volatile boolean closed;
+
+    private record Running(DisposableServer server, ChannelGroup channels) {}
+
+    /** Starts on a free port of the loopback address. */
+    public TargetServer(String name, TargetModel model, Scheduler timers, Nested nested) {
+        this.name = name;
+        this.model = model;
+        this.timers = timers;
+        this.nested = nested;
+        this.running = start(0);
+    }
+
+    /** HOST:PORT of the listener, which stays the same over crashes. */
+    public String address() {
+        return "127.0.0.1:" + running.server().port();
+    }
+
+    public TargetModel model() {
+        return model;
+    }
+
+    /** Dies with all its connections and comes back cold after the restart time. */
+    public void crash() {
+        model.crash();
+        restart();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        stop();
+    }
+
+    private Running start(int port) {
+        ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+        DisposableServer server = HttpServer.create()
+                .bindAddress(() -> new InetSocketAddress("127.0.0.1", port))
+                .doOnConnection(connection -> channels.add(connection.channel()))
+                .handle(this::handle)
+                .bindNow();
+        return new Running(server, channels);
+    }
+
+    private void restart() {
+        int port = running.server().port();
+        stop();
+        timers.schedule(
+                () -> {
+                    if (!closed) {
+                        running = start(port);
+                    }
+                },
+                model.behaviour().restartMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void stop() {
+        Running stopped = running;
+        stopped.server().dispose();
+        stopped.channels().close();
+    }
+
+    private Mono<Void> handle(HttpServerRequest request, HttpServerResponse response) {
+        HttpHeaders headers = request.requestHeaders();
+        if (request.uri().equals("/jaywick/state")) {
+            return response.sendString(Mono.just(model.isDraining() ? "draining" : "serving"))
+                    .then();
+        }
+        String id = headers.get(REQUEST, "");
+        switch (model.arrive(id)) {
+            case SHED:
+                return response.status(UNAVAILABLE).send();
+            case CRASH:
+                restart();
+                return Mono.never();
+            default:
+                break;
+        }
+        int crashes = model.crashes();
+        AtomicBoolean ended = new AtomicBoolean();
+        return request.receive()
+                .aggregate()
+                .asString()
+                .defaultIfEmpty("")
+                .flatMap(body -> work(headers).flatMap(status -> {
+                    // The work is done before the first byte of the answer can tell the node so.
+                    ended.set(true);
+                    model.ended(crashes, !headers.contains(CUT));
+                    return answer(headers, response, status, id, body);
+                }))
+                .doFinally(signal -> {
+                    if (!ended.get()) {
+                        model.ended(crashes, false);
+                    }
+                });
+    }
+
+    private Mono<Integer> work(HttpHeaders headers) {
+        long millis =
+                headers.contains(DELAY_MILLIS) ? Long.parseLong(headers.get(DELAY_MILLIS)) : model.serviceMillis();
+        Mono<Integer> waited = millis == 0
+                ? Mono.just(OK)
+                : Mono.delay(Duration.ofMillis(millis), timers).thenReturn(OK);
+        return nested == null ? waited : waited.then(nested.call(headers));
+    }
+
+    private Mono<Void> answer(HttpHeaders headers, HttpServerResponse response, int status, String id, String body) {
+        String text = name + " " + id + " " + body;
+        response.status(status);
+        if (headers.contains(CUT)) {
+            response.header("content-length", Integer.toString(2 * text.length()));
+            AtomicReference<Channel> channel = new AtomicReference<>();
+            response.withConnection(connection -> channel.set(connection.channel()));
+            return response.sendString(Flux.just(text))
+                    .then(Mono.<Void>fromRunnable(() -> channel.get().close()))
+                    .then();
+        }
+        if (headers.contains(STREAM_BYTES)) {
+            int bytes = Integer.parseInt(headers.get(STREAM_BYTES));
+            return response.sendByteArray(Flux.range(0, (bytes + CHUNK - 1) / CHUNK)
+                            .map(part -> new byte[Math.min(CHUNK, bytes - part * CHUNK)]))
+                    .then();
+        }
+        return response.sendString(Mono.just(text)).then();
+    }
+}
--- /dev/null
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallFailureTestCase.java
@@ -0,0 +1,282 @@
+package io.jaywick.standin.target;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+
+import io.jaywick.core.retry.KeyPlacements;
+import io.jaywick.core.retry.UuidV7;
+import io.jaywick.core.snapshot.Snapshot;
+import io.micrometer.tracing.Tracer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.NumericChars;
+import net.jqwik.api.constraints.StringLength;
+import net.jqwik.api.lifecycle.AfterProperty;
+import net.jqwik.api.lifecycle.BeforeProperty;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.scheduler.Schedulers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.anyOf;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.startsWith;
+
+class CallFailureTestCase {
+
+    private static final long SEED = 11;
+    private static final String PARTY = "vet";
+
+    private final CallClient caller = new CallClient();
+    private CallFleet fleet;
+
+    private static TableBuilder table() {
+        TableBuilder table = new TableBuilder()
+                .dataCentre("a", "north", true)
+                .dataCentre("b", "north", true)
+                .service("books", 12, 4, 5_000)
+                .route("read", "/read", true, Map.of("books", 100))
+                .route("write", "/write", false, Map.of("books", 100))
+                .party(PARTY, 50, 1)
+                .party("clerk", 50, 1);
+        for (int i = 0; i < 3; i++) {
+            table.server("a" + i, "a", "books").server("b" + i, "b", "books");
+        }
+        return table;
+    }
+
+    @BeforeEach
+    @BeforeProperty
+    void start() {
+        TargetBehaviour behaviour = new TargetBehaviour(12, 4, 1, 1, 0, 20);
+        fleet = new CallFleet(
+                table().build(1), behaviour, CallFleet.SETTINGS, Schedulers.parallel(), null, Tracer.NOOP, SEED);
+    }
+
+    @AfterEach
+    @AfterProperty
+    void stop() {
+        fleet.close();
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(String path, String id, String... headers) {
+        return caller.send(fleet.node("a0").egressUrl() + path, PARTY, id, headers);
+    }
+
+    private int runs(String id) {
+        int runs = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            runs += node.target().model().runsOf(id);
+        }
+        return runs;
+    }
+
+    private int crashes() {
+        int crashes = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            crashes += node.target().model().crashes();
+        }
+        return crashes;
+    }
+
+    /** Guards against a cut answer that passes as whole (I7). */
+    @Test
+    void cutAnswerIsUnknownToTheCaller() {
+        HttpResponse<String> cut = send("/write", "w1", TargetServer.CUT, "1").join();
+        assertThat(CallClient.outcome(cut), startsWith("unknown"));
+        assertThat(cut.statusCode(), is(502));
+        assertThat(runs("w1"), is(1));
+    }
+
+    /** Guards against a streamed answer that loses or mixes bytes. */
+    @Test
+    void longAnswerIsStreamedWhole() {
+        HttpResponse<String> answer =
+                send("/read", "r1", TargetServer.STREAM_BYTES, "3000000").join();
+        assertThat(answer.statusCode(), is(200));
+        assertThat(answer.body().length(), is(3_000_000));
+    }
+
+    /** Guards against a non-idempotent call that is sent again after it may have run (I9). */
+    @Test
+    void lostWriteIsUnknownAndRunsOnce() {
+        for (CallFleet.Node node : fleet.nodes()) {
+            node.target().model().crashOn("w1");
+        }
+        HttpResponse<String> lost = send("/write", "w1").join();
+        assertThat(CallClient.outcome(lost), is("unknown connection-lost"));
+        assertThat(runs("w1"), is(1));
+    }
+
+    /** Guards against a request that takes down target after target, over nodes and resends. */
+    @Test
+    void crashingRequestTakesDownAtMostTwoTargets() {
+        for (CallFleet.Node node : fleet.nodes()) {
+            node.target().model().crashOn("bad");
+        }
+        List<CompletableFuture<HttpResponse<String>>> innocents = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            innocents.add(send("/read", "ok" + i, TargetServer.DELAY_MILLIS, "100"));
+        }
+        String last = "";
+        for (int resend = 0; resend < 6; resend++) {
+            last = CallClient.outcome(
+                    send("/read", "bad", "jaywick-call-id", "bad-call").join());
+        }
+        assertThat(last, is("not-run suspect"));
+        assertThat(crashes(), is(2));
+        for (CompletableFuture<HttpResponse<String>> innocent : innocents) {
+            assertThat(CallClient.outcome(innocent.join()).contains("suspect"), is(false));
+        }
+    }
+
+    /** Guards against a resent key that runs at a second server or a second time (I9). */
+    @Test
+    void resentKeyRunsOnce() {
+        // Keys are accepted only when they are newer than the start of the nodes by the margin; a key of the past
+        // proves
+        // nothing. Its creation time lies in the margin for keys of the future.
+        String key = UuidV7.of(System.currentTimeMillis() + 9_990, 1, 2);
+        String early = UuidV7.of(System.currentTimeMillis(), 1, 2);
+        assertThat(
+                CallClient.outcome(
+                        send("/write", "w1", "idempotency-key", early).join()),
+                is("not-run duplicate-key"));
+        int answered = 0;
+        for (CallFleet.Node node : fleet.nodes()) {
+            HttpResponse<String> response = caller.send(
+                            node.egressUrl() + "/write", PARTY, "w2", "idempotency-key", key)
+                    .join();
+            answered += response.statusCode() == 200 ? 1 : 0;
+            assertThat(CallClient.outcome(response), anyOf(is("answered"), is("not-run duplicate-key")));
+        }
+        assertThat(runs("w1"), is(0));
+        assertThat(runs("w2"), is(answered));
+        assertThat(answered, lessThanOrEqualTo(1));
+    }
+
+    /** Guards against new work at a data centre that is out while a caller still has the old table (I5). */
+    @Test
+    void nodeOfAnOutDataCentreRefusesAndTheCallGoesElsewhere() {
+        Snapshot out = table().in("a", false).build(2);
+        for (int i = 0; i < 3; i++) {
+            fleet.table("a" + i, out);
+        }
+        for (int i = 0; i < 20; i++) {
+            HttpResponse<String> answer = caller.send(fleet.node("b0").egressUrl() + "/read", PARTY, "r" + i)
+                    .join();
+            assertThat(answer.statusCode(), is(200));
+            assertThat(answer.body(), startsWith("b"));
+        }
+        fleet.table("b0", table().build(1));
+        assertThat(CallClient.outcome(send("/read", "r").join()), is("answered"));
+    }
+
+    /** Guards against a graceful shutdown that cuts off a request (I11) or takes new ones. */
+    @Test
+    void shutdownLetsCallsInFlightEnd() {
+        List<CompletableFuture<HttpResponse<String>>> calls = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            calls.add(send("/read", "slow" + i, TargetServer.DELAY_MILLIS, "300"));
+        }
+        send("/read", "first").join();
+        CompletableFuture<?>[] done = {
+            fleet.node("a1").proxy().shutDown(), fleet.node("a2").proxy().shutDown()
+        };
+        for (int i = 0; i < 8; i++) {
+            assertThat(calls.get(i).join().statusCode(), is(200));
+            assertThat(CallClient.outcome(send("/read", "next" + i).join()), is("answered"));
+        }
+        CompletableFuture.allOf(done).join();
+        int later = fleet.node("a1").target().model().runs().size();
+        send("/read", "after").join();
+        assertThat(fleet.node("a1").target().model().runs().size(), is(later));
+    }
+
+    /** Guards against a late answer that reaches the caller after the deadline, and against work that goes on. */
+    @Test
+    void deadlineEndsTheCallAndCancelsTheTarget() {
+        HttpResponse<String> late = send(
+                        "/write", "w1", "jaywick-deadline-millis", "100", TargetServer.DELAY_MILLIS, "4000")
+                .join();
+        assertThat(CallClient.outcome(late), is("unknown deadline-passed"));
+        assertThat(
+                CallClient.outcome(
+                        send("/read", "r1", "jaywick-deadline-millis", "0").join()),
+                is("not-run deadline"));
+        assertThat(runs("r1"), is(0));
+        for (int i = 0; i < 30; i++) {
+            assertThat(
+                    send("/read", "next" + i).join().body(), is("a" + number(i) + " next" + i + " body-of-next" + i));
+        }
+    }
+
+    private String number(int call) {
+        for (int i = 0; i < 3; i++) {
+            if (fleet.node("a" + i).target().model().runsOf("next" + call) == 1) {
+                return Integer.toString(i);
+            }
+        }
+        return "none";
+    }
+
+    /** Guards against headers that fail the proxy or bypass its rules. */
+    @Property(tries = 60, seed = "20261204")
+    void malformedHeadersNeverFailTheProxy(
+            @ForAll @AlphaChars @NumericChars @StringLength(max = 200) String text, @ForAll Random random) {
+        String[] values = {
+            text, "-" + text, "9".repeat(1 + random.nextInt(40)), "-1", "1e9", "0x10", " 7 ", text + "," + text
+        };
+        String[] names = {
+            "jaywick-deadline-millis",
+            "jaywick-depth",
+            "jaywick-attempt",
+            "jaywick-hash",
+            "jaywick-call-id",
+            "jaywick-crashes",
+            "jaywick-load",
+            "jaywick-retried",
+            "jaywick-outcome",
+            "idempotency-key",
+            "traceparent"
+        };
+        List<String> headers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            headers.add(names[random.nextInt(names.length)]);
+            headers.add(values[random.nextInt(values.length)]);
+        }
+        HttpResponse<String> response =
+                send("/read", "f", headers.toArray(new String[0])).join();
+        assertThat(
+                CallClient.outcome(response),
+                anyOf(is("answered"), is("not-run deadline"), is("unknown deadline-passed")));
+        HttpResponse<String> stranger = caller.send(
+                        fleet.node("a0").egressUrl() + "/read", "x" + text, "f", headers.toArray(new String[0]))
+                .join();
+        assertThat(CallClient.outcome(stranger), is("not-run unknown-party"));
+        assertThat(fleet.node("a0").proxy().egress().port(), greaterThan(0));
+    }
+
+    /** Guards against a server that takes a key of which it is not the home. */
+    @Test
+    void onlyTheHomeTakesAKey() {
+        String key = UuidV7.of(System.currentTimeMillis() + 9_990, 3, 4);
+        String home = KeyPlacements.homeOf(table().build(1), "/write", PARTY, key);
+        for (CallFleet.Node node : fleet.nodes()) {
+            if (!node.server().name().equals(home)) {
+                String url = "http://127.0.0.1:" + node.proxy().ingress().port() + "/write";
+                HttpResponse<String> refused =
+                        caller.send(url, PARTY, "w", "idempotency-key", key).join();
+                assertThat(CallClient.outcome(refused), is("not-run no-target"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
@@ -0,0 +1,81 @@
+package io.jaywick.standin.target;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+
+import io.micrometer.tracing.Tracer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import reactor.core.scheduler.Schedulers;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class CallPathTestCase {
+
+    private static final long SEED = 7;
+
+    private final CallClient caller = new CallClient();
+    private CallFleet fleet;
+
+    private static TableBuilder table() {
+        return new TableBuilder()
+                .dataCentre("a", "north", true)
+                .dataCentre("b", "south", true)
+                .service("books", 12, 4, 10_000)
+                .server("s1", "a", "books")
+                .server("s2", "a", "books")
+                .server("s3", "b", "books")
+                .route("read", "/read", true, Map.of("books", 100))
+                .route("write", "/write", false, Map.of("books", 100))
+                .party("vet", 50, 1)
+                .party("clerk", 50, 1, "south");
+    }
+
+    @BeforeEach
+    void start() {
+        TargetBehaviour behaviour = new TargetBehaviour(12, 4, 1, 1, 3, 50);
+        fleet = new CallFleet(
+                table().build(1), behaviour, CallFleet.SETTINGS, Schedulers.parallel(), null, Tracer.NOOP, SEED);
+    }
+
+    @AfterEach
+    void stop() {
+        fleet.close();
+    }
+
+    private HttpResponse<String> call(String server, String path, String party, String id, String... headers) {
+        return caller.send(fleet.node(server).egressUrl() + path, party, id, headers)
+                .join();
+    }
+
+    /** Guards against an answer that is given to another request (I7). */
+    @Test
+    void everyCallerGetsItsOwnAnswer() {
+        List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            answers.add(caller.send(fleet.node("s1").egressUrl() + "/read/x", "vet", "r" + i));
+        }
+        for (int i = 0; i < answers.size(); i++) {
+            HttpResponse<String> answer = answers.get(i).join();
+            assertThat(CallClient.outcome(answer), is("answered"));
+            assertThat(answer.body().substring(3), is("r" + i + " body-of-r" + i));
+        }
+    }
+
+    /** Guards against a region-bound call that leaves a node outside its regions (I6). */
+    @Test
+    void boundCallIsRefusedOutsideItsRegions() {
+        HttpResponse<String> refused = call("s1", "/read/x", "clerk", "r1");
+        assertThat(CallClient.outcome(refused), is("not-run outside-home-regions"));
+        assertThat(CallClient.outcome(call("s3", "/read/x", "clerk", "r2")), is("answered"));
+        assertThat(fleet.node("s3").target().model().runsOf("r2"), is(1));
+        for (CallFleet.Node node : fleet.nodes()) {
+            assertThat(node.target().model().runsOf("r1"), is(0));
+        }
+    }
+}
