--- a/jaywick-core/src/main/java/io/jaywick/core/admission/Admission.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/Admission.java
@@ -129,8 +129,8 @@
     }
 
     /** A whole answer came from the target. */
-    public synchronized void answered(String route, long latencyNanos) {
-        concurrency.answered(route, latencyNanos);
+    public synchronized void answered(String route, long dispatchedNanos) {
+        concurrency.answered(route, dispatchedNanos, nanoTime.getAsLong());
     }
 
     /** The target shed a call. */
--- a/jaywick-core/src/main/java/io/jaywick/core/admission/ConcurrencyLimit.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/ConcurrencyLimit.java
@@ -28,6 +28,8 @@
     private int slots;
     private int limit;
     private int slowStreak;
+    private boolean halvedBefore;
+    private long halvedNanos;
 
     public ConcurrencyLimit(int coldStartCalls, int slots) {
         this.coldStartCalls = Math.max(1, coldStartCalls);
@@ -46,8 +48,12 @@
         return limit;
     }
 
-    /** The target answered in full. */
-    public void answered(String route, long latencyNanos) {
+    /**
+     * The target answered in full. Slow answers halve the limit once for the calls dispatched since the last halving: a
+     * pause of the machine delays all calls in flight at once and is no sign of a cold target.
+     */
+    public void answered(String route, long dispatchedNanos, long now) {
+        long latencyNanos = now - dispatchedNanos;
         Double usual = usualNanos.get(route);
         boolean slow = usual != null && latencyNanos > SLOW_FACTOR * usual + SLOW_FLOOR_NANOS;
         if (usual == null) {
@@ -63,7 +69,9 @@
             return;
         }
         slowStreak++;
-        if (slowStreak >= SLOW_STREAK) {
+        if (slowStreak >= SLOW_STREAK && (!halvedBefore || dispatchedNanos - halvedNanos >= 0)) {
+            halvedBefore = true;
+            halvedNanos = now;
             halve();
         }
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
@@ -253,7 +253,7 @@
         if (shed) {
             server.admission().targetRefused();
         } else if (status < 500) {
-            server.admission().answered(route.name(), context.nanoTime().getAsLong() - dispatchNanos);
+            server.admission().answered(route.name(), dispatchNanos);
         }
         if (!server.suspects().crashIds(fingerprint).isEmpty()) {
             server.suspects().cleared(fingerprint);
