Keep the test of own answers within what cold targets bear

Cause: 200 calls at once to cold targets are refused as cold on a loaded machine, as designed, and the test demanded an answer for each. Change: the calls come four at a time and each must be answered with its own body; a second test sends 200 at once and demands its own answer or a refusal that did not run. Conclusion: the verdict no longer depends on the machine's load.

--- a/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
@@ -56,14 +56,40 @@
     /** Guards against an answer that is given to another request (I7). */
     @Test
     void everyCallerGetsItsOwnAnswer() {
+        // No more at once than the cold targets bear, so that every call must be answered on any machine.
+        for (int first = 0; first < 200; first += 4) {
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = first; i < first + 4; i++) {
+                answers.add(caller.send(fleet.node("s1").egressUrl() + "/read/x", "vet", "r" + i));
+            }
+            for (int i = 0; i < answers.size(); i++) {
+                HttpResponse<String> answer = answers.get(i).join();
+                String id = "r" + (first + i);
+                assertThat(CallClient.outcome(answer), is("answered"));
+                assertThat(answer.body().substring(3), is(id + " body-of-" + id));
+            }
+        }
+    }
+
+    /** Guards against crossed answers when more calls come than cold targets bear; refused ones must not have run. */
+    @Test
+    void concurrentCallersGetTheirOwnAnswerOrARefusal() {
         List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
             answers.add(caller.send(fleet.node("s1").egressUrl() + "/read/x", "vet", "r" + i));
         }
         for (int i = 0; i < answers.size(); i++) {
             HttpResponse<String> answer = answers.get(i).join();
-            assertThat(CallClient.outcome(answer), is("answered"));
-            assertThat(answer.body().substring(3), is("r" + i + " body-of-r" + i));
+            if (CallClient.outcome(answer).equals("answered")) {
+                assertThat(answer.body().substring(3), is("r" + i + " body-of-r" + i));
+            } else if (CallClient.outcome(answer).startsWith("not-run")) {
+                for (CallFleet.Node node : fleet.nodes()) {
+                    assertThat(node.target().model().runsOf("r" + i), is(0));
+                }
+            } else {
+                // The read route is idempotent: a call that ran out of time says so and is no answer.
+                assertThat(CallClient.outcome(answer), is("unknown deadline-passed"));
+            }
         }
     }
 
