--- a/jaywick-cli/src/main/java/io/jaywick/cli/check/VerdictOutput.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/check/VerdictOutput.java
@@ -25,7 +25,8 @@
         for (TableProblem problem : verdict.problems()) {
             out.println(problem.line());
         }
-        out.println("rejected: " + verdict.problems().size() + " problems");
+        int count = verdict.problems().size();
+        out.println("rejected: " + count + (count == 1 ? " problem" : " problems"));
     }
 
     static void printJson(TableVerdict verdict, int packedBytes, PrintStream out) throws JsonProcessingException {
--- a/jaywick-node/src/main/java/io/jaywick/node/admin/AdminServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/admin/AdminServer.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.Callable;
 
@@ -34,6 +35,9 @@
     private static final int INTERNAL_ERROR = 500;
     private static final int UNAVAILABLE = 503;
 
+    /** Connections of scrapers that went away are closed after this time. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
+
     private final AdminViews views;
     private final DisposableServer server;
 
@@ -42,6 +46,7 @@
         this.views = views;
         this.server = HttpServer.create()
                 .bindAddress(() -> address)
+                .idleTimeout(IDLE_TIMEOUT)
                 .handle(this::handle)
                 .bindNow();
     }
