--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.CallsBenchCommand;
 import io.jaywick.cli.bench.DistributionBenchCommand;
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
 import io.jaywick.cli.bench.record.RecordBenchCommand;
@@ -13,6 +14,7 @@
 import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.scenario.ScenarioCommand;
+import io.jaywick.cli.standin.StandinCommand;
 import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
@@ -31,6 +33,7 @@
 
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
+        commands.add(new CallsBenchCommand());
         commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
         commands.add(new RecordBenchCommand());
@@ -40,6 +43,7 @@
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
         commands.add(new ScenarioCommand());
+        commands.add(new StandinCommand());
         commands.add(new StatusCommand());
         return commands;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.distribution.FleetStatus;
+import io.jaywick.core.distribution.TableVersionCheck;
 import io.jaywick.core.limits.LimiterOptions;
 import io.jaywick.core.membership.Member;
 import io.jaywick.core.message.Laggard;
@@ -137,7 +138,7 @@
                         environment.scheduler(),
                         environment.random()),
                 this::adopted,
-                new TableCheck(),
+                new TableVersionCheck(),
                 suspects());
         members.set(distribution.membership());
         this.admin = new AdminServer(
--- a/jaywick-standin/src/main/java/io/jaywick/standin/target/TargetServer.java
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/TargetServer.java
@@ -4,7 +4,9 @@
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 
+import io.netty.channel.Channel;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -161,10 +163,11 @@
         response.status(status);
         if (headers.contains(CUT)) {
             response.header("content-length", Integer.toString(2 * text.length()));
-            return response.sendString(Mono.just(text))
-                    .then()
-                    .doFinally(signal -> response.withConnection(
-                            connection -> connection.channel().close()));
+            AtomicReference<Channel> channel = new AtomicReference<>();
+            response.withConnection(connection -> channel.set(connection.channel()));
+            return response.sendString(Flux.just(text))
+                    .then(Mono.<Void>fromRunnable(() -> channel.get().close()))
+                    .then();
         }
         if (headers.contains(STREAM_BYTES)) {
             int bytes = Integer.parseInt(headers.get(STREAM_BYTES));
