Name the holder in a quota request

A wrong address could lead a request for one holder to another holder of the same party. That one applied the sender's heldCalls to its own grant and released calls that the sender still used. Found by reading; a test causes it.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/OwnerLeaseCore.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/limits/OwnerLeaseCore.java
@@ -98,7 +98,17 @@
         state.pending = true;
         long requestId = nextRequestId++;
         QuotaRequest request = new QuotaRequest(
-                environment.options().server(), 0, requestId, party.name(), snapshot.revision(), want, 0, 0, 0, 0);
+                environment.options().server(),
+                0,
+                requestId,
+                party.name(),
+                snapshot.revision(),
+                want,
+                0,
+                0,
+                0,
+                0,
+                owner);
         environment.link().request(owner, request).whenComplete((reply, failure) -> {
             state.pending = false;
             if (reply instanceof QuotaGrant grant) {
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
@@ -113,7 +113,9 @@
         Snapshot current = snapshot;
         Party known = current == null ? null : current.parties().get(request.party());
         HolderLedger.Decision decision = HolderLedger.Decision.NONE;
-        while (known != null) {
+        // A wrong address would apply what the sender says about another holder's grant to the grant of this one.
+        boolean meant = options.server().equals(request.holder());
+        while (known != null && meant) {
             PartyState state = state(known);
             synchronized (state) {
                 if (state.isRetired()) {
@@ -196,7 +198,8 @@
                     options.grantMillis(),
                     line.held(nowNanos),
                     line.idleReleased(),
-                    line.answeredId());
+                    line.answeredId(),
+                    ask.holder());
             outgoing.add(new Outgoing(ask.holder(), address, request));
         }
     }
@@ -248,7 +251,8 @@
                 options.grantMillis(),
                 0,
                 0,
-                0);
+                0,
+                peer);
         addresses.peerAddress(peer).ifPresent(address -> link.request(address, probe)
                 .whenComplete((reply, failure) -> learnSettled(reply)));
     }
--- a/jaywick-core/src/test/java/io/jaywick/core/limits/HolderLedgerTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/limits/HolderLedgerTestCase.java
@@ -62,7 +62,7 @@
     @Test
     void idleClaimOnAnUnseenAnswerRestsOneWindow() {
         decide("a", 1, 1, 60, 0, IDLE, 0);
-        QuotaRequest claim = new QuotaRequest("a", 1, 2, "p", 1, 0, 10_000, 0, 60, 99);
+        QuotaRequest claim = new QuotaRequest("a", 1, 2, "p", 1, 0, 10_000, 0, 60, 99, "h");
         ledger.decide(claim, IDLE, WINDOW, 1);
         assertThat(ledger.free(100, WINDOW, 1), equalTo(40));
     }
@@ -89,7 +89,7 @@
 
     private HolderLedger.Decision decide(
             String from, long incarnation, long id, int want, int held, HolderLedger.Own own, long now) {
-        QuotaRequest request = new QuotaRequest(from, incarnation, id, "p", 1, want, 10_000, held, 0, 0);
+        QuotaRequest request = new QuotaRequest(from, incarnation, id, "p", 1, want, 10_000, held, 0, 0, "h");
         return ledger.decide(request, own, WINDOW, now);
     }
 }
--- a/jaywick-core/src/test/java/io/jaywick/core/limits/PartyLimiterTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/limits/PartyLimiterTestCase.java
@@ -47,7 +47,7 @@
         limiter.onSnapshot(snapshot(1, PARTY, "a"));
         limiter.tick();
         assertThat(limiter.tryAcquire(PARTY), is(false));
-        QuotaRequest request = new QuotaRequest("b", 1, 1, "p", 1, 10, 10_000, 0, 0, 0);
+        QuotaRequest request = new QuotaRequest("b", 1, 1, "p", 1, 10, 10_000, 0, 0, 0, "a");
         assertThat(limiter.handle(request).calls(), equalTo(0));
         nowNanos += TimeUnit.SECONDS.toNanos(12);
         limiter.tick();
@@ -57,6 +57,17 @@
         assertThat(limiter.tryAcquire(PARTY), is(true));
     }
 
+    /** Guards against a wrong address that makes a holder release quota which the sender uses. */
+    @Test
+    void requestForAnotherHolderChangesNothing() {
+        PartyLimiter limiter = limiter(true);
+        limiter.onSnapshot(snapshot(1, PARTY, "a"));
+        assertThat(limiter.handle(request(1, 10, 0, "a")).calls(), equalTo(10));
+        assertThat(limiter.handle(request(2, 0, 0, "c")).calls(), equalTo(0));
+        nowNanos += TimeUnit.SECONDS.toNanos(5);
+        assertThat(limiter.quotaCalls("p"), equalTo(0));
+    }
+
     /** Guards against a raised limit that a node applies only after the fleet confirms, and a lowered one it ignores. */
     @Test
     void editOfTheLimitWithTheSameRosterAppliesAtOnce() {
@@ -117,6 +128,10 @@
                 new Random(1));
     }
 
+    private static QuotaRequest request(long id, int want, int held, String holder) {
+        return new QuotaRequest("b", 1, id, "p", 1, want, 10_000, held, 0, 0, holder);
+    }
+
     private static Party party(int limitCalls) {
         return new Party("p", limitCalls, 2_000, 0, Set.of(), 0);
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/limits/QuotaServiceTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/limits/QuotaServiceTestCase.java
@@ -58,7 +58,7 @@
     @Test
     void answersOnlyQuotaRequests() {
         try (QuotaService service = service()) {
-            QuotaRequest request = new QuotaRequest("b", 1, 1, "p", 1, 10, 10_000, 0, 0, 0);
+            QuotaRequest request = new QuotaRequest("b", 1, 1, "p", 1, 10, 10_000, 0, 0, 0, "a");
             assertThat(service.handle(request).join(), instanceOf(QuotaGrant.class));
             assertThat(service.handle(new Ack("b")).join(), instanceOf(ErrorReply.class));
         }
