--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.CallsBenchCommand;
 import io.jaywick.cli.bench.DistributionBenchCommand;
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
 import io.jaywick.cli.bench.record.RecordBenchCommand;
@@ -32,6 +33,7 @@
 
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
+        commands.add(new CallsBenchCommand());
         commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
         commands.add(new RecordBenchCommand());
