--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -4,12 +4,18 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.jaywick.cli.bench.CallsBenchCommand;
+import io.jaywick.cli.bench.DistributionBenchCommand;
 import io.jaywick.cli.bench.limits.BenchLimitsCommand;
+import io.jaywick.cli.bench.record.RecordBenchCommand;
 import io.jaywick.cli.check.CheckCommand;
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
+import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.scenario.ScenarioCommand;
+import io.jaywick.cli.standin.StandinCommand;
+import io.jaywick.cli.status.StatusCommand;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -27,12 +33,18 @@
 
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
+        commands.add(new CallsBenchCommand());
+        commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
+        commands.add(new RecordBenchCommand());
         commands.add(new CheckCommand());
+        commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
         commands.add(new ScenarioCommand());
+        commands.add(new StandinCommand());
+        commands.add(new StatusCommand());
         return commands;
     }
 }
