--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/CallsRun.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/CallsRun.java
@@ -60,6 +60,7 @@
         CallsLoad load = new CallsLoad(strategy, callers, timers, seed);
         load.run(CallsScenario.WARM_MILLIS);
         load.settle();
+        int failedInWarmUp = load.failedIdempotent();
         long[] runsBefore = runsByService(fleet);
         Histogram quiet = load.run(CallsScenario.QUIET_MILLIS);
         load.settle();
@@ -90,7 +91,7 @@
         return new CallsFigures(
                 quiet.getValueAtPercentile(P99) / MICROS_PER_MILLI,
                 move.getValueAtPercentile(P99) / MICROS_PER_MILLI,
-                load.failedIdempotent(),
+                load.failedIdempotent() - failedInWarmUp,
                 ranTwice(fleet, load),
                 overload,
                 amplification,
