--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/package-info.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/package-info.java
@@ -1,4 +1,4 @@
 /**
- * Benchmarks of the operators' command line.
+ * Measurements of strategies side by side.
  */
 package io.jaywick.cli.bench;
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyLimiter.java
@@ -113,7 +113,9 @@
         Snapshot current = snapshot;
         Party known = current == null ? null : current.parties().get(request.party());
         HolderLedger.Decision decision = HolderLedger.Decision.NONE;
-        while (known != null) {
+        // A wrong address would apply what the sender says about another holder's grant to the grant of this one.
+        boolean meant = options.server().equals(request.holder());
+        while (known != null && meant) {
             PartyState state = state(known);
             synchronized (state) {
                 if (state.isRetired()) {
@@ -185,7 +187,7 @@
                 continue;
             }
             long requestId = requestIds.incrementAndGet();
-            int held = state.send(ask, requestId, nowNanos);
+            ReceiverLine line = state.send(ask, requestId, nowNanos);
             QuotaRequest request = new QuotaRequest(
                     options.server(),
                     options.incarnation(),
@@ -194,7 +196,10 @@
                     current.revision(),
                     ask.wantCalls(),
                     options.grantMillis(),
-                    held);
+                    line.held(nowNanos),
+                    line.idleReleased(),
+                    line.answeredId(),
+                    ask.holder());
             outgoing.add(new Outgoing(ask.holder(), address, request));
         }
     }
@@ -244,7 +249,10 @@
                 snapshot.revision(),
                 0,
                 options.grantMillis(),
-                0);
+                0,
+                0,
+                0,
+                peer);
         addresses.peerAddress(peer).ifPresent(address -> link.request(address, probe)
                 .whenComplete((reply, failure) -> learnSettled(reply)));
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyState.java
@@ -16,6 +16,12 @@
     /** The sliding window is longer by up to this part of itself, in exchange for fixed memory. */
     private static final int COUNTER_BUCKETS = 128;
 
+    /** A surplus below this part of the need is kept, so that small changes of demand cost no messages. */
+    private static final int SURPLUS_PART = 4;
+
+    /** A holder that could not give all is asked for this part of what is missing. */
+    private static final int MISSING_PARTS = 4;
+
     private final String party;
     private final long periodNanos;
     private final WindowCounter used;
@@ -123,7 +129,7 @@
 
     void accept(String holder, QuotaGrant grant, long nowNanos) {
         ReceiverLine line = lines.get(holder);
-        if (line != null && line.accept(grant, windowNanos(), nowNanos)) {
+        if (line != null && line.accept(grant, idleCalls(nowNanos), windowNanos(), nowNanos)) {
             quotaUntilNanos = Long.MIN_VALUE;
         }
     }
@@ -142,39 +148,76 @@
      * @param shareOf base share of a holder, zero for one that cannot be reached
      */
     List<Ask> plan(List<String> holders, ToIntFunction<String> shareOf, long nowNanos) {
-        int wanted = demand.wantedCalls(limitCalls, nowNanos);
-        if (wanted == 0 && lines.isEmpty()) {
+        int kept = demand.keptCalls(limitCalls, nowNanos);
+        if (kept == 0 && lines.isEmpty()) {
             return List.of();
         }
-        int remaining = wanted - Math.min(wanted, ledger.free(share, windowNanos(), nowNanos));
-        List<Ask> asks = new ArrayList<>();
-        Map<String, Integer> wants = new LinkedHashMap<>();
-        for (String holder : holders) {
-            int want = Math.min(remaining, shareOf.applyAsInt(holder));
-            if (want > 0) {
-                ReceiverLine line = lines.computeIfAbsent(holder, name -> new ReceiverLine(periodNanos));
-                wants.put(holder, want);
-                remaining -= line.expected(want);
-            }
+        int free = ledger.free(share, windowNanos(), nowNanos);
+        Map<String, Integer> keeps = split(Math.max(0, kept - free), holders, shareOf, nowNanos);
+        Map<String, Integer> wants =
+                split(Math.max(0, demand.wantedCalls(limitCalls, nowNanos) - free), holders, shareOf, nowNanos);
+        for (String holder : keeps.keySet()) {
+            lines.computeIfAbsent(holder, name -> new ReceiverLine(periodNanos));
         }
+        List<Ask> asks = new ArrayList<>();
         Iterator<Map.Entry<String, ReceiverLine>> iterator = lines.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<String, ReceiverLine> entry = iterator.next();
             ReceiverLine line = entry.getValue();
-            int want = wants.getOrDefault(entry.getKey(), 0);
-            if (line.isDue(want, line.held(nowNanos), windowNanos(), nowNanos)) {
-                asks.add(new Ask(entry.getKey(), want));
-            } else if (want == 0 && line.isIdle(nowNanos)) {
+            int keep = keeps.getOrDefault(entry.getKey(), 0);
+            Ask ask = new Ask(entry.getKey(), wants.getOrDefault(entry.getKey(), 0), keep);
+            if (line.isDue(ask.wantCalls(), windowNanos(), nowNanos)) {
+                asks.add(ask);
+            } else if (ask.keptCalls() == 0 && line.isIdle(nowNanos)) {
                 iterator.remove();
             }
         }
         return asks;
     }
 
-    /** Records a request that is about to be sent and returns the calls still held of the holder's grant. */
-    int send(Ask ask, long requestId, long nowNanos) {
+    /**
+     * Divides calls over the holders. Each keeps what it lent, as long as the sum is not too large; what is missing is
+     * asked of the holders that have not refused, and a part of it of each that has.
+     */
+    private Map<String, Integer> split(int calls, List<String> holders, ToIntFunction<String> shareOf, long nowNanos) {
+        Map<String, Integer> wants = new LinkedHashMap<>();
+        long lent = 0;
+        for (ReceiverLine line : lines.values()) {
+            lent += line.held(nowNanos);
+        }
+        boolean surplus = lent > calls + Math.max(2, calls / SURPLUS_PART);
+        int remaining = calls;
+        long missing = Math.max(0, calls - lent);
+        for (String holder : holders) {
+            ReceiverLine line = lines.get(holder);
+            int held = line == null ? 0 : line.held(nowNanos);
+            int want = surplus ? Math.min(held, remaining) : held;
+            if (missing > 0) {
+                boolean refused = line != null && line.isLacking();
+                long more = refused ? missing / MISSING_PARTS + 1 : missing;
+                int raised = (int) Math.max(held, Math.min(shareOf.applyAsInt(holder), held + more));
+                missing -= refused ? 0 : raised - held;
+                want = raised;
+            }
+            remaining -= want;
+            if (want > 0) {
+                wants.put(holder, want);
+            }
+        }
+        return wants;
+    }
+
+    /** Records a request that is about to be sent and returns its line. */
+    ReceiverLine send(Ask ask, long requestId, long nowNanos) {
+        ReceiverLine line = lines.get(ask.holder());
+        line.send(requestId, ask.wantCalls(), ask.keptCalls(), idleCalls(nowNanos), nowNanos);
         quotaUntilNanos = Long.MIN_VALUE;
-        return lines.get(ask.holder()).send(requestId, ask.wantCalls(), nowNanos);
+        return line;
+    }
+
+    /** Calls of the quota that no call of the last window needed. */
+    private long idleCalls(long nowNanos) {
+        return Math.max(0, quota(nowNanos) - used.count(nowNanos));
     }
 
     /** Marks the state as unused when nothing of it can matter any more. */
@@ -196,6 +239,6 @@
         return LimitTiming.windowNanos(windowMillis);
     }
 
-    /** A request to send. */
-    record Ask(String holder, int wantCalls) {}
+    /** A request to send, with the calls that the node keeps in any case. */
+    record Ask(String holder, int wantCalls, int keptCalls) {}
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/verdict/HomeRegionChecks.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/verdict/HomeRegionChecks.java
@@ -1,11 +1,11 @@
 package io.jaywick.core.verdict;
 
+import java.util.BitSet;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
-import io.jaywick.core.snapshot.HomeRegions;
 import io.jaywick.core.table.CanonicalRow;
 import io.jaywick.core.table.ProblemList;
 import io.jaywick.core.table.ProblemType;
@@ -19,21 +19,37 @@
  *
  * <p>The state of a data centre does not count: an operator who takes one out of service must never be refused.
  * A party whose home regions have nothing in common with those of a route is excluded from that route on purpose, which
- * is accepted as long as one route remains. Where they overlap, a server must be there.
+ * is accepted as long as one route remains. Where they overlap, each service of the route needs a server, because its
+ * share of the party's calls would otherwise always be refused.
+ *
+ * <p>Regions are bits, because every party is checked against every route: with 8,000 of each, all with different home
+ * regions, checks over sets of names ran for minutes.
  */
 final class HomeRegionChecks {
 
     private final TableRows rows;
     private final ProblemList problems;
-    private final Map<String, Set<String>> regionsOfService = new HashMap<>();
-    private final Map<String, Set<String>> homeOfService = new HashMap<>();
+    private final Map<String, Integer> bits = new HashMap<>();
+    private final BitSet anyRegion = new BitSet();
+    /** Regions of the servers of each service. */
+    private final Map<String, BitSet> served = new HashMap<>();
+    /** The same within the home regions of the service; services without a row are absent. */
+    private final Map<String, BitSet> servedAtHome = new HashMap<>();
 
     private HomeRegionChecks(TableRows rows, ProblemList problems) {
         this.rows = rows;
         this.problems = problems;
     }
 
-    /** Checks a table whose sheets could all be read and whose references are known. */
+    /**
+     * Regions of a route.
+     *
+     * @param home its home regions
+     * @param served home regions in which one of its services has a server
+     */
+    private record RouteUse(BitSet home, BitSet served) {}
+
+    /** Checks a table whose data centres, servers and services could all be read. */
     static void check(TableRows rows, ProblemList problems) {
         HomeRegionChecks checks = new HomeRegionChecks(rows, problems);
         checks.index();
@@ -46,23 +62,35 @@
         Map<String, String> regions = new HashMap<>();
         for (SheetRow row : rows.of(Sheet.DATA_CENTRES)) {
             regions.put(row.field("data_centre"), row.field("region"));
+            bit(row.field("region"));
         }
-        for (SheetRow row : rows.of(Sheet.SERVICES)) {
-            homeOfService.put(row.field("service"), home(row));
+        for (Sheet sheet : new Sheet[] {Sheet.SERVICES, Sheet.ROUTES, Sheet.PARTIES}) {
+            for (SheetRow row : rows.of(sheet)) {
+                CanonicalRow.regions(row.field("home_regions")).forEach(this::bit);
+            }
         }
+        anyRegion.set(0, bits.size());
         for (SheetRow row : rows.of(Sheet.SERVERS)) {
             String region = regions.get(row.field("data_centre"));
             if (region != null) {
-                regionsOfService
-                        .computeIfAbsent(row.field("service"), service -> new LinkedHashSet<>())
-                        .add(region);
+                served.computeIfAbsent(row.field("service"), service -> new BitSet())
+                        .set(bit(region));
             }
         }
+        for (SheetRow row : rows.of(Sheet.SERVICES)) {
+            BitSet atHome = home(row);
+            atHome.and(served.getOrDefault(row.field("service"), new BitSet()));
+            servedAtHome.put(row.field("service"), atHome);
+        }
+    }
+
+    private int bit(String region) {
+        return bits.computeIfAbsent(region, name -> bits.size());
     }
 
     private void checkServices() {
         for (SheetRow row : rows.of(Sheet.SERVICES)) {
-            if (!hasServer(row.field("service"), home(row))) {
+            if (!home(row).intersects(served.getOrDefault(row.field("service"), new BitSet()))) {
                 add(
                         ProblemType.SERVICE_WITHOUT_SERVER,
                         row,
@@ -73,71 +101,75 @@
 
     private void checkRoutes() {
         for (SheetRow row : rows.of(Sheet.ROUTES)) {
-            String service = row.field("service");
-            Set<String> home = homeOfService.get(service);
-            if (home != null
-                    && hasServer(service, home)
-                    && !hasServer(service, HomeRegions.intersection(home(row), home))) {
+            BitSet atHome = servedAtHome.get(row.field("service"));
+            if (!row.broken() && atHome != null && !atHome.isEmpty() && !atHome.intersects(home(row))) {
                 add(
                         ProblemType.ROUTE_WITHOUT_SERVER,
                         row,
-                        "the home regions of the route and of service " + TableProblem.shown(service)
+                        "the home regions of the route and of service " + TableProblem.shown(row.field("service"))
                                 + " leave no server");
             }
         }
     }
 
     private void checkParties() {
+        Map<RouteUse, SheetRow> uses = new LinkedHashMap<>();
+        for (SheetRow route : rows.of(Sheet.ROUTES)) {
+            BitSet atHome = servedAtHome.get(route.field("service"));
+            BitSet home = home(route);
+            if (!route.broken() && atHome != null && atHome.intersects(home)) {
+                BitSet both = (BitSet) atHome.clone();
+                both.and(home);
+                uses.putIfAbsent(new RouteUse(home, both), route);
+            }
+        }
         for (SheetRow party : rows.of(Sheet.PARTIES)) {
-            Set<String> home = home(party);
-            if (home.isEmpty() || rows.of(Sheet.ROUTES).isEmpty()) {
-                continue;
+            if (!party.broken()
+                    && !uses.isEmpty()
+                    && !CanonicalRow.regions(party.field("home_regions")).isEmpty()) {
+                checkParty(party, uses);
             }
-            boolean hasRoute = false;
-            for (SheetRow route : rows.of(Sheet.ROUTES)) {
-                String service = route.field("service");
-                Set<String> homeOfRoute =
-                        HomeRegions.intersection(home(route), homeOfService.getOrDefault(service, Set.of()));
-                if (!hasServer(service, homeOfRoute)) {
-                    hasRoute = true;
-                    continue;
-                }
-                Set<String> allowed = HomeRegions.intersection(home, homeOfRoute);
-                boolean served = hasServer(service, allowed);
-                hasRoute |= served;
-                if (allowed != null && !served) {
-                    hasRoute = true;
-                    add(
-                            ProblemType.PARTY_WITHOUT_SERVER,
-                            party,
-                            "the home regions of the party leave no server for service " + TableProblem.shown(service)
-                                    + " of route " + TableProblem.shown(route.field("route")));
-                    break;
-                }
+        }
+    }
+
+    private void checkParty(SheetRow party, Map<RouteUse, SheetRow> uses) {
+        BitSet home = home(party);
+        boolean hasRoute = false;
+        for (Map.Entry<RouteUse, SheetRow> use : uses.entrySet()) {
+            if (!home.intersects(use.getKey().home())) {
+                continue;
             }
-            if (!hasRoute) {
+            hasRoute = true;
+            if (!home.intersects(use.getKey().served())) {
+                SheetRow route = use.getValue();
                 add(
                         ProblemType.PARTY_WITHOUT_SERVER,
                         party,
-                        "the home regions of the party have nothing in common with those of any route");
+                        "the home regions of the party leave no server for service "
+                                + TableProblem.shown(route.field("service")) + " of route "
+                                + TableProblem.shown(route.field("route")));
+                return;
             }
         }
+        if (!hasRoute) {
+            add(
+                    ProblemType.PARTY_WITHOUT_SERVER,
+                    party,
+                    "the home regions of the party have nothing in common with those of any route");
+        }
     }
 
-    private boolean hasServer(String service, Set<String> home) {
-        if (home == null) {
-            return false;
+    /** Home regions of a row; a row without any has all regions. */
+    private BitSet home(SheetRow row) {
+        List<String> regions = CanonicalRow.regions(row.field("home_regions"));
+        BitSet home = new BitSet();
+        if (regions.isEmpty()) {
+            home.or(anyRegion);
         }
-        for (String region : regionsOfService.getOrDefault(service, Set.of())) {
-            if (HomeRegions.allows(home, region)) {
-                return true;
-            }
+        for (String region : regions) {
+            home.set(bit(region));
         }
-        return false;
-    }
-
-    private static Set<String> home(SheetRow row) {
-        return new LinkedHashSet<>(CanonicalRow.regions(row.field("home_regions")));
+        return home;
     }
 
     private void add(ProblemType type, SheetRow row, String message) {
