--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -16,6 +16,7 @@
 import io.jaywick.cli.scenario.ScenarioCommand;
 import io.jaywick.cli.standin.StandinCommand;
 import io.jaywick.cli.status.StatusCommand;
+import io.jaywick.node.log.LibraryLogs;
 
 /** Entry point of the operators' command line. */
 public final class CommandLineMain {
@@ -23,6 +24,7 @@
     private CommandLineMain() {}
 
     public static void main(String[] args) {
+        LibraryLogs.redirect();
         System.exit(run(args, System.out, System.err));
     }
 
--- a/jaywick-cli/src/main/java/io/jaywick/cli/status/StatusCommand.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/status/StatusCommand.java
@@ -123,5 +123,9 @@
         for (JsonNode laggard : fleet.path("laggards")) {
             out.println("  " + laggard.path("server").asText() + " on revision " + laggard.path("revision"));
         }
+        int unheard = fleet.path("total").asInt() - fleet.path("known").asInt();
+        if (unheard > 0) {
+            out.println("  " + unheard + " servers of the roster did not report lately");
+        }
     }
 }
--- a/jaywick-cli/src/test/java/io/jaywick/cli/status/StatusCommandTestCase.java
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/status/StatusCommandTestCase.java
@@ -44,7 +44,7 @@
                     () -> true,
                     () -> STATUS,
                     () -> CompletableFuture.completedFuture(
-                            new FleetStatus(7, 17, 18, List.of(new FleetStatus.FleetLaggard("bookings-hella", 6)))),
+                            new FleetStatus(7, 16, 17, 18, List.of(new FleetStatus.FleetLaggard("bookings-hella", 6)))),
                     () -> "",
                     List::of));
     private final String node = "127.0.0.1:" + server.address().getPort();
--- a/jaywick-node/src/main/java/io/jaywick/node/Node.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/Node.java
@@ -280,7 +280,8 @@
         for (Laggard laggard : fleet.laggards()) {
             laggards.add(new io.jaywick.node.admin.FleetStatus.FleetLaggard(laggard.server(), laggard.revision()));
         }
-        return new io.jaywick.node.admin.FleetStatus(fleet.revision(), fleet.inForce(), fleet.servers(), laggards);
+        return new io.jaywick.node.admin.FleetStatus(
+                fleet.revision(), fleet.inForce(), fleet.known(), fleet.servers(), laggards);
     }
 
     private List<PeerHead> peerHeads(DeferredMembership members) {
--- a/jaywick-node/src/main/java/io/jaywick/node/NodeMain.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/NodeMain.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.TimeoutException;
 
 import io.jaywick.core.settings.NodeSettings;
+import io.jaywick.node.log.JsonLoggerFinder;
+import io.jaywick.node.log.LibraryLogs;
 import io.jaywick.node.settings.SettingsException;
 import io.jaywick.node.settings.SettingsReader;
 import io.jaywick.node.settings.SocketAddressParser;
@@ -40,6 +42,7 @@
     private NodeMain() {}
 
     public static void main(String[] args) throws InterruptedException {
+        LibraryLogs.redirect();
         int status = run(args, System.out, System.err);
         if (status != 0) {
             System.exit(status);
@@ -75,6 +78,7 @@
     }
 
     private static void start(NodeSettings settings, boolean firstStart, PrintStream out, PrintStream err) {
+        JsonLoggerFinder.setNode(settings.node().server());
         Scheduler scheduler = Schedulers.newParallel("node", LOOP_THREADS);
         LoopResources loops = LoopResources.create("loop", LOOP_THREADS, true);
         InetSocketAddress platform = SocketAddressParser.parse(settings.source().address());
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/LibraryLogs.java
@@ -0,0 +1,51 @@
+package io.jaywick.node.log;
+
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogManager;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+import io.netty.util.internal.logging.InternalLoggerFactory;
+import io.netty.util.internal.logging.JdkLoggerFactory;
+import reactor.util.Loggers;
+
+/** Passes the logs of Netty and Reactor to {@link System.Logger}, so that they become JSON lines too. */
+public final class LibraryLogs {
+
+    private LibraryLogs() {}
+
+    /** Call once, before a class of these libraries makes its logger. */
+    public static void redirect() {
+        InternalLoggerFactory.setDefaultFactory(JdkLoggerFactory.INSTANCE);
+        Loggers.useJdkLoggers();
+        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        root.setLevel(Level.WARNING);
+        root.addHandler(new Redirect());
+    }
+
+    private static final class Redirect extends Handler {
+
+        @Override
+        public void publish(LogRecord entry) {
+            if (!isLoggable(entry)) {
+                return;
+            }
+            System.Logger.Level level = entry.getLevel().intValue() >= Level.SEVERE.intValue()
+                    ? System.Logger.Level.ERROR
+                    : System.Logger.Level.WARNING;
+            System.getLogger(String.valueOf(entry.getLoggerName())).log(level, entry.getMessage(), entry.getThrown());
+        }
+
+        @Override
+        public void flush() {
+            // Each line is written at once.
+        }
+
+        @Override
+        public void close() {
+            // Standard error stays open.
+        }
+    }
+}
