--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -36,6 +36,7 @@
         commands.add(new CallsBenchCommand());
         commands.add(new DistributionBenchCommand());
         commands.add(new BenchLimitsCommand());
+        commands.add(new RecordBenchCommand());
         commands.add(new CheckCommand());
         commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
