--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -43,6 +43,7 @@
         commands.add(new DemoCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
+        commands.add(new RecordBenchCommand());
         commands.add(new ReportCommand());
         commands.add(new ScenarioCommand());
         commands.add(new StandinCommand());
