Refuse calls that the usage record cannot claim; stack the report's tables

Cause: a failed claim surfaced as an untyped error in the proxy, after an idempotency key had been taken; the report's widest table was cut off beside its chart, as the page in headless Chromium showed; the fleet status gained a field that two tests did not have. Conclusion: no call runs uncounted because a line could not be written.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/report/HtmlReport.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/report/HtmlReport.java
@@ -22,8 +22,8 @@
             body { font: 15px/1.45 sans-serif; color: #111; background: #fff; margin: 1.5em auto; max-width: 76em;
               padding: 0 1em }
             h1 { font-size: 1.5em } h2 { font-size: 1.2em; margin-top: 2em; border-bottom: 2px solid #111 }
-            .pair { display: flex; flex-wrap: wrap; gap: 1.5em; align-items: flex-start }
-            .pair figure { flex: 1 1 34em; margin: 0; max-width: 46em } .pair > div { flex: 1 1 24em; overflow-x: auto }
+            .pair { display: grid; gap: 1.5em }
+            .pair figure { margin: 0; max-width: 46em } .pair > div { overflow-x: auto }
             .wide { overflow-x: auto }
             svg { width: 100%%; height: auto } svg text { font: 11px sans-serif; fill: #111 }
             table { border-collapse: collapse; font-size: 0.9em } caption { text-align: left; font-weight: bold;
--- a/jaywick-cli/src/test/java/io/jaywick/cli/status/StatusCommandTestCase.java
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/status/StatusCommandTestCase.java
@@ -44,7 +44,7 @@
                     () -> true,
                     () -> STATUS,
                     () -> CompletableFuture.completedFuture(
-                            new FleetStatus(7, 16, 17, 18, List.of(new FleetStatus.FleetLaggard("bookings-hella", 6)))),
+                            new FleetStatus(7, 17, 17, 18, List.of(new FleetStatus.FleetLaggard("bookings-hella", 6)))),
                     () -> "",
                     List::of));
     private final String node = "127.0.0.1:" + server.address().getPort();
@@ -75,6 +75,7 @@
     void printsTheStatusOfTheFleet() {
         String text = CommandResult.of("status", "--node", node, "--fleet").out();
         assertThat(text, containsString("revision 7 is in force on 17 of 18"));
+        assertThat(text, containsString("1 servers of the roster did not report lately"));
         assertThat(text, containsString("bookings-hella on revision 6"));
         assertThat(
                 CommandResult.of("status", "--node", node, "--fleet", "--json").out(),
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/RefusalReason.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/RefusalReason.java
@@ -14,7 +14,9 @@
     DEADLINE("deadline"),
     SUSPECT("suspect"),
     NO_TABLE("no-table"),
-    DUPLICATE_KEY("duplicate-key");
+    DUPLICATE_KEY("duplicate-key"),
+    /** No line of the usage record can be written, so the call could not be counted. */
+    NO_RECORD("no-record");
 
     private static final RefusalReason[] VALUES = values();
 
@@ -42,7 +44,7 @@
     /** Tells whether another target may accept the call. */
     public boolean mayBeAcceptedElsewhere() {
         return switch (this) {
-            case DATA_CENTRE_OUT, DRAINING, COLD, OVERLOADED, NO_TABLE, NO_ROUTE, NO_TARGET -> true;
+            case DATA_CENTRE_OUT, DRAINING, COLD, OVERLOADED, NO_TABLE, NO_ROUTE, NO_TARGET, NO_RECORD -> true;
             default -> false;
         };
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
@@ -14,6 +14,7 @@
 import io.jaywick.core.message.SuspectEntry;
 import io.jaywick.core.record.CallOutcome;
 import io.jaywick.core.record.CallUsage;
+import io.jaywick.core.record.UsageClaimException;
 import io.jaywick.core.retry.AttemptResult;
 import io.jaywick.core.routing.CallPlan;
 import io.jaywick.core.routing.RefusalReason;
@@ -31,6 +32,8 @@
 /** One call from the caller beside the node, with all its attempts. */
 final class EgressCall {
 
+    private static final System.Logger LOG = System.getLogger(EgressCall.class.getName());
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EgressServer server;
@@ -60,6 +63,8 @@
     /** Last answer with which a target shed the call; better than nothing when no other target takes it. */
     private CallEnd shedEnd;
 
+    private boolean claimed;
+
     EgressCall(EgressServer server, HttpServerRequest request, HttpServerResponse response) {
         this.server = server;
         this.context = server.context();
@@ -84,8 +89,7 @@
     }
 
     Mono<Void> run() {
-        context.usage().callStarted();
-        RefusalReason refusal = refusal();
+        RefusalReason refusal = claim() ? refusal() : RefusalReason.NO_RECORD;
         Mono<CallEnd> result = refusal != null
                 ? Mono.just(CallEnd.refused(refusal))
                 : RequestBody.of(request).flatMap(read -> {
@@ -96,6 +100,17 @@
         return result.flatMap(this::deliver).doFinally(signal -> finish());
     }
 
+    /** Claims the call in the usage record; a call that cannot be claimed is refused and not counted. */
+    private boolean claim() {
+        try {
+            context.usage().callStarted();
+            claimed = true;
+        } catch (UsageClaimException e) {
+            LOG.log(System.Logger.Level.WARNING, "call refused without a claim", e);
+        }
+        return claimed;
+    }
+
     private RefusalReason refusal() {
         if (server.isClosing()) {
             return RefusalReason.DRAINING;
@@ -336,6 +351,9 @@
         span.end();
         long nanos = context.nanoTime().getAsLong() - startNanos;
         server.meters().ended(label, last.outcome(), last.reason(), attempts, nanos);
+        if (!claimed) {
+            return;
+        }
         context.usage()
                 .callEnded(new CallUsage(
                         plan.party() == null ? "" : plan.party().name(),
--- a/jaywick-node/src/test/java/io/jaywick/node/admin/AdminServerTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/admin/AdminServerTestCase.java
@@ -24,7 +24,7 @@
                     () -> true,
                     () -> ready,
                     () -> new NodeStatus("a", 0, "", null, null, 0, 0, 1),
-                    () -> CompletableFuture.completedFuture(new FleetStatus(0, 0, 0, List.of())),
+                    () -> CompletableFuture.completedFuture(new FleetStatus(0, 0, 0, 0, List.of())),
                     registry::scrape,
                     () -> List.of("{\"a\":1}", "{\"b\":2}")));
     private final String node = "127.0.0.1:" + server.address().getPort();
--- a/jaywick-standin/src/main/java/io/jaywick/standin/target/CallFleet.java
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/CallFleet.java
@@ -17,6 +17,7 @@
 import io.jaywick.core.membership.MembershipView;
 import io.jaywick.core.record.CallUsage;
 import io.jaywick.core.record.DispatchUsage;
+import io.jaywick.core.record.UsageClaimException;
 import io.jaywick.core.record.UsageObserver;
 import io.jaywick.core.settings.CallsSettings;
 import io.jaywick.core.snapshot.Server;
@@ -47,6 +48,7 @@
     }
 
     private final Scheduler timers;
+    private final NoUsage usage = new NoUsage();
     private final AtomicReference<Snapshot> snapshot = new AtomicReference<>();
     private final Map<String, AtomicReference<Snapshot>> own = new ConcurrentHashMap<>();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -83,6 +85,11 @@
         TargetServer.Nested of(Server server, Supplier<String> egressUrl);
     }
 
+    /** Makes the usage record of every node fail, or work again. */
+    public void failUsageRecord(boolean fails) {
+        usage.failing = fails;
+    }
+
     public Node node(String server) {
         return nodes.get(server);
     }
@@ -129,7 +136,7 @@
                 () -> own.containsKey(name) ? own.get(name).get() : snapshot.get(),
                 new View(),
                 unlimited,
-                new NoUsage(),
+                usage,
                 settings,
                 timers,
                 System::nanoTime,
@@ -165,16 +172,29 @@
         }
     }
 
+    /** Counts nothing; can fail as a recorder does whose lines cannot be written. */
     private static final class NoUsage implements UsageObserver {
 
+        private volatile boolean failing;
+
+        private void claim() {
+            if (failing) {
+                throw new UsageClaimException("no line can be written", null);
+            }
+        }
+
         @Override
-        public void callStarted() {}
+        public void callStarted() {
+            claim();
+        }
 
         @Override
         public void callEnded(CallUsage usage) {}
 
         @Override
-        public void dispatchStarted() {}
+        public void dispatchStarted() {
+            claim();
+        }
 
         @Override
         public void dispatchEnded(DispatchUsage usage) {}
--- a/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
@@ -93,6 +93,18 @@
         }
     }
 
+    /** Guards against a call that runs although the usage record cannot count it (I14). */
+    @Test
+    void callIsRefusedWhenItCannotBeClaimed() {
+        fleet.failUsageRecord(true);
+        assertThat(CallClient.outcome(call("s1", "/read/x", "vet", "r1")), is("not-run no-record"));
+        for (CallFleet.Node node : fleet.nodes()) {
+            assertThat(node.target().model().runsOf("r1"), is(0));
+        }
+        fleet.failUsageRecord(false);
+        assertThat(CallClient.outcome(call("s1", "/read/x", "vet", "r2")), is("answered"));
+    }
+
     /** Guards against a region-bound call that leaves a node outside its regions (I6). */
     @Test
     void boundCallIsRefusedOutsideItsRegions() {
