--- a/jaywick-node/src/main/java/io/jaywick/node/log/LibraryLogs.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/LibraryLogs.java
@@ -13,6 +13,9 @@
 /** Passes the logs of Netty and Reactor to {@link System.Logger}, so that they become JSON lines too. */
 public final class LibraryLogs {
 
+    /** A lost connection is an outcome that callers and metrics show; a line for each would flood the log. */
+    private static final Logger CONNECTIONS = Logger.getLogger("reactor.netty");
+
     private LibraryLogs() {}
 
     /** Call once, before a class of these libraries makes its logger. */
@@ -23,6 +26,7 @@
         Logger root = Logger.getLogger("");
         root.setLevel(Level.WARNING);
         root.addHandler(new Redirect());
+        CONNECTIONS.setLevel(Level.SEVERE);
     }
 
     private static final class Redirect extends Handler {
--- a/jaywick-standin/src/main/java/io/jaywick/standin/target/TargetServer.java
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/TargetServer.java
@@ -14,6 +14,8 @@
 import reactor.core.publisher.Flux;
 import reactor.core.publisher.Mono;
 import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
+import reactor.netty.ChannelBindException;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
 import reactor.netty.http.server.HttpServerRequest;
@@ -37,6 +39,7 @@
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
     private static final int CHUNK = 8_192;
+    private static final long BIND_RETRY_MILLIS = 20;
 
     /** Nested calls that a request makes before it is answered. */
     @FunctionalInterface
@@ -98,14 +101,25 @@
     private void restart() {
         int port = running.server().port();
         stop();
-        timers.schedule(
-                () -> {
-                    if (!closed) {
-                        running = start(port);
-                    }
-                },
-                model.behaviour().restartMillis(),
-                TimeUnit.MILLISECONDS);
+        bindLater(port, model.behaviour().restartMillis());
+    }
+
+    /** Binding waits for the socket, which the threads of the timers must not do. A port still in use is tried again. */
+    private void bindLater(int port, long delayMillis) {
+        Schedulers.boundedElastic()
+                .schedule(
+                        () -> {
+                            if (closed) {
+                                return;
+                            }
+                            try {
+                                running = start(port);
+                            } catch (ChannelBindException e) {
+                                bindLater(port, BIND_RETRY_MILLIS);
+                            }
+                        },
+                        delayMillis,
+                        TimeUnit.MILLISECONDS);
     }
 
     private void stop() {
--- a/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
@@ -93,6 +93,18 @@
         }
     }
 
+    /** Guards against a stand-in target that stays down after a crash, which hid cold restarts from the benchmarks. */
+    @Test
+    void crashedTargetComesBack() {
+        fleet.node("s1").target().crash();
+        fleet.node("s2").target().crash();
+        String answered = "";
+        for (int i = 0; i < 2_000 && !answered.equals("answered"); i++) {
+            answered = CallClient.outcome(call("s1", "/read/x", "vet", "r" + i));
+        }
+        assertThat(answered, is("answered"));
+    }
+
     /** Guards against a call that runs although the usage record cannot count it (I14). */
     @Test
     void callIsRefusedWhenItCannotBeClaimed() {
