Script the failures of distribution on virtual time

Cause: scenarios covered the party limits only, so that failures of source, peers and regions could not be tried at many interleavings.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/scenario/LimitsDriver.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/scenario/LimitsDriver.java
@@ -16,6 +16,8 @@
 /** Runs scenarios of the party limits on {@link LimitFleet}. */
 final class LimitsDriver implements ScenarioDriver {
 
+    private static final String HOLDER = "holder:";
+
     private final LimitFleet fleet;
     private final LimitFleetOptions options;
     private final VirtualTime time;
@@ -104,34 +106,18 @@
     }
 
     private List<String> servers(Scenario.Event event) {
-        List<String> names = new ArrayList<>();
-        for (String selector : event.serversOrNone()) {
-            names.addAll(servers(event, selector));
+        if (event.action().equals("roster-add")) {
+            return List.of();
         }
-        return names;
-    }
-
-    private List<String> servers(Scenario.Event event, String selector) {
         List<String> all = new ArrayList<>(fleet.servers());
-        if (selector.equals("all")) {
-            return all;
-        }
-        if (selector.equals("any")) {
-            return List.of(all.get(time.random().nextInt(all.size())));
-        }
-        if (selector.startsWith("region:")) {
-            return fleet.serversIn(selector.substring("region:".length()));
-        }
-        if (selector.startsWith("holder:")) {
-            int rank = Integer.parseInt(selector.substring("holder:".length()));
+        List<String> selectors = event.serversOrNone();
+        if (selectors.size() == 1 && selectors.get(0).startsWith(HOLDER)) {
+            int rank = Integer.parseInt(selectors.get(0).substring(HOLDER.length()));
             return List.of(new Roster(all)
                     .holders(LimitFleet.PARTY, options.holdersPerParty())
                     .get(rank - 1));
         }
-        if (!all.contains(selector) && !event.action().equals("roster-add")) {
-            throw new ScenarioException("server '" + selector + "' of action '" + event.action() + "' is unknown");
-        }
-        return List.of(selector);
+        return ServerSelector.select(event, all, fleet::serversIn, time.random());
     }
 
     private static LimitStrategy strategy(String key) {
--- a/jaywick-cli/src/main/java/io/jaywick/cli/scenario/Scenario.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/scenario/Scenario.java
@@ -52,6 +52,7 @@
             Integer limitCalls,
             Long windowMillis,
             String dataCentre,
+            Long revision,
             Integer times,
             Long everyMillis) {
 
--- a/jaywick-cli/src/main/java/io/jaywick/cli/scenario/ScenarioRunner.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/scenario/ScenarioRunner.java
@@ -10,7 +10,8 @@
 /** Runs a scenario with a seed. The same scenario and seed give the same run. */
 public final class ScenarioRunner {
 
-    private static final Map<String, DriverFactory> DRIVERS = Map.of("limits", LimitsDriver::new);
+    private static final Map<String, DriverFactory> DRIVERS =
+            Map.of("distribution", DistributionDriver::new, "limits", LimitsDriver::new);
 
     private ScenarioRunner() {}
 
