Let the first calls of a party at a node wait for its grant

Change: such calls ask again every 50 ms, six times, at most 256 at once; a node whose quota is used up still refuses at once. 2 tests.

--- a/jaywick-node/src/main/java/io/jaywick/node/limits/QuotaService.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/limits/QuotaService.java
@@ -56,6 +56,11 @@
         return limiter.tryAcquire(party);
     }
 
+    @Override
+    public boolean isAwaitingGrant(Party party) {
+        return limiter.quotaCalls(party.name()) == 0;
+    }
+
     @Override
     public void onSnapshot(Snapshot snapshot) {
         limiter.onSnapshot(snapshot);
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
@@ -90,16 +90,27 @@
 
     Mono<Void> run() {
         RefusalReason refusal = claim() ? refusal() : RefusalReason.NO_RECORD;
-        Mono<CallEnd> result = refusal != null
-                ? Mono.just(CallEnd.refused(refusal))
-                : RequestBody.of(request).flatMap(read -> {
-                    body = read;
-                    server.retries().firstAttempt(plan.service().name());
-                    return attempt();
-                });
+        Mono<CallEnd> result;
+        if (refusal == null) {
+            result = send();
+        } else if (refusal == RefusalReason.PARTY_LIMIT) {
+            result = server.quotaWait()
+                    .acquire(plan.party())
+                    .flatMap(granted -> granted ? send() : Mono.just(CallEnd.refused(refusal)));
+        } else {
+            result = Mono.just(CallEnd.refused(refusal));
+        }
         return result.flatMap(this::deliver).doFinally(signal -> finish());
     }
 
+    private Mono<CallEnd> send() {
+        return RequestBody.of(request).flatMap(read -> {
+            body = read;
+            server.retries().firstAttempt(plan.service().name());
+            return attempt();
+        });
+    }
+
     /** Claims the call in the usage record; a call that cannot be claimed is refused and not counted. */
     private boolean claim() {
         try {
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressServer.java
@@ -22,6 +22,7 @@
     private final CallMeters meters;
     private final UpstreamClient upstream;
     private final HttpListener listener;
+    private final QuotaWait quotaWait;
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean closing;
 
@@ -33,12 +34,17 @@
                 context.place().dataCentre(), context.place().region(), context.random(), context.nanoTime());
         this.meters = new CallMeters("egress", context.meters());
         this.upstream = new UpstreamClient("egress-" + context.place().server(), CONNECTIONS_PER_NODE);
+        this.quotaWait = new QuotaWait(context.quota(), context.timers());
         this.listener = new HttpListener(address, (request, response) -> {
             inFlight.incrementAndGet();
             return new EgressCall(this, request, response).run();
         });
     }
 
+    QuotaWait quotaWait() {
+        return quotaWait;
+    }
+
     /** Port of the listener. */
     public int port() {
         return listener.port();
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/QuotaWait.java
@@ -0,0 +1,51 @@
+package io.jaywick.node.proxy;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.jaywick.core.limits.CallQuota;
+import io.jaywick.core.snapshot.Party;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+import reactor.core.scheduler.Scheduler;
+
+/**
+ * Lets the first calls of a party at a node wait for a grant instead of being refused. A party that has quota at the
+ * node and has used it up is not delayed. See docs/design-limits.md.
+ */
+final class QuotaWait {
+
+    /** One tick of the limiter and one round trip between regions fit in all attempts together, with a reserve. */
+    private static final int ATTEMPTS = 6;
+
+    private static final Duration INTERVAL = Duration.ofMillis(50);
+    /** Bounds the memory of calls that wait. */
+    private static final int MAX_WAITING = 256;
+
+    private final CallQuota quota;
+    private final Scheduler timers;
+    private final AtomicInteger waiting = new AtomicInteger();
+
+    QuotaWait(CallQuota quota, Scheduler timers) {
+        this.quota = quota;
+        this.timers = timers;
+    }
+
+    /** Completes with true once a call was taken from the quota, or with false when it must be refused. */
+    Mono<Boolean> acquire(Party party) {
+        if (!quota.isAwaitingGrant(party)) {
+            return Mono.just(false);
+        }
+        if (waiting.incrementAndGet() > MAX_WAITING) {
+            waiting.decrementAndGet();
+            return Mono.just(false);
+        }
+        return Flux.interval(INTERVAL, timers)
+                .take(ATTEMPTS)
+                .onBackpressureDrop()
+                .filter(attempt -> quota.tryAcquire(party))
+                .next()
+                .hasElement()
+                .doFinally(signal -> waiting.decrementAndGet());
+    }
+}
--- a/jaywick-standin/src/main/java/io/jaywick/standin/target/CallFleet.java
+++ b/jaywick-standin/src/main/java/io/jaywick/standin/target/CallFleet.java
@@ -20,6 +20,7 @@
 import io.jaywick.core.record.UsageClaimException;
 import io.jaywick.core.record.UsageObserver;
 import io.jaywick.core.settings.CallsSettings;
+import io.jaywick.core.snapshot.Party;
 import io.jaywick.core.snapshot.Server;
 import io.jaywick.core.snapshot.Snapshot;
 import io.jaywick.node.proxy.NodePlace;
@@ -49,6 +50,7 @@
 
     private final Scheduler timers;
     private final NoUsage usage = new NoUsage();
+    private final SwitchedQuota quota = new SwitchedQuota();
     private final AtomicReference<Snapshot> snapshot = new AtomicReference<>();
     private final Map<String, AtomicReference<Snapshot>> own = new ConcurrentHashMap<>();
     private final Map<String, Node> nodes = new LinkedHashMap<>();
@@ -85,6 +87,11 @@
         TargetServer.Nested of(Server server, Supplier<String> egressUrl);
     }
 
+    /** Sets the quota that every node asks; without it no call is refused. */
+    public void quota(CallQuota limit) {
+        quota.limit = limit;
+    }
+
     /** Makes the usage record of every node fail, or work again. */
     public void failUsageRecord(boolean fails) {
         usage.failing = fails;
@@ -129,13 +136,12 @@
                 nested == null ? null : nested.of(server, () -> nodes.get(name).egressUrl());
         TargetServer target = new TargetServer(name, new TargetModel(behaviour, System::nanoTime), timers, calls);
         MeterRegistry meters = new SimpleMeterRegistry();
-        CallQuota unlimited = party -> true;
         ProxyContext context = new ProxyContext(
                 new NodePlace(
                         name, server.dataCentre().name(), server.dataCentre().region()),
                 () -> own.containsKey(name) ? own.get(name).get() : snapshot.get(),
                 new View(),
-                unlimited,
+                quota,
                 usage,
                 settings,
                 timers,
@@ -172,6 +178,21 @@
         }
     }
 
+    private static final class SwitchedQuota implements CallQuota {
+
+        private volatile CallQuota limit = party -> true;
+
+        @Override
+        public boolean tryAcquire(Party party) {
+            return limit.tryAcquire(party);
+        }
+
+        @Override
+        public boolean isAwaitingGrant(Party party) {
+            return limit.isAwaitingGrant(party);
+        }
+    }
+
     /** Counts nothing; can fail as a recorder does whose lines cannot be written. */
     private static final class NoUsage implements UsageObserver {
 
--- a/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
+++ b/jaywick-standin/src/test/java/io/jaywick/standin/target/CallPathTestCase.java
@@ -5,7 +5,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 
+import io.jaywick.core.limits.CallQuota;
+import io.jaywick.core.snapshot.Party;
 import io.micrometer.tracing.Tracer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -105,6 +108,37 @@
         assertThat(answered, is("answered"));
     }
 
+    /** Guards against a party refused below its limit because the node's first grant is still on its way. */
+    @Test
+    void firstCallWaitsForAGrant() {
+        AtomicInteger asked = new AtomicInteger();
+        fleet.quota(new CallQuota() {
+            @Override
+            public boolean tryAcquire(Party party) {
+                return asked.incrementAndGet() > 3;
+            }
+
+            @Override
+            public boolean isAwaitingGrant(Party party) {
+                return asked.get() <= 3;
+            }
+        });
+        assertThat(CallClient.outcome(call("s1", "/read/x", "vet", "r1")), is("answered"));
+        assertThat(asked.get(), is(4));
+    }
+
+    /** Guards against calls past the limit that wait, or run. */
+    @Test
+    void callPastTheLimitIsRefusedAtOnce() {
+        AtomicInteger asked = new AtomicInteger();
+        fleet.quota(party -> asked.incrementAndGet() == 0);
+        assertThat(CallClient.outcome(call("s1", "/read/x", "vet", "r1")), is("not-run party-limit"));
+        assertThat(asked.get(), is(1));
+        for (CallFleet.Node node : fleet.nodes()) {
+            assertThat(node.target().model().runsOf("r1"), is(0));
+        }
+    }
+
     /** Guards against a call that runs although the usage record cannot count it (I14). */
     @Test
     void callIsRefusedWhenItCannotBeClaimed() {
