Wait for further peers before the first version is pulled

Change: a node without a version asks three more peers and waits 300 ms; holders of the newest version are asked first. Ruled out: the tracker, which compares with nothing in a new process.

--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/PullPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/PullPlan.java
@@ -21,10 +21,17 @@
         }
     }
 
-    /** Returns the next holder of a version above the given one and takes it out, or null. */
+    /** Takes out the first of the holders of the newest version above the given one, or returns null. */
     public Holder next(long activeRevision) {
         holders.removeIf(holder -> holder.revision <= activeRevision);
-        return holders.pollFirst();
+        Holder best = null;
+        for (Holder holder : holders) {
+            if (best == null || holder.revision > best.revision) {
+                best = holder;
+            }
+        }
+        holders.remove(best);
+        return best;
     }
 
     /** Puts a holder that did not answer behind the others; after some attempts it is dropped. */
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/DistributionService.java
@@ -90,7 +90,7 @@
         this.tracker = new VersionTracker(check, listener);
         this.state = new NodeState(config, loop, random, membership, tracker, environment.link());
         this.watcher = new SourceWatcher(state, environment.source(), () -> adopted(true));
-        this.puller = new Puller(state, () -> adopted(false), membership::failed);
+        this.puller = new Puller(state, () -> adopted(false), membership::failed, () -> askPeers(false));
         this.server = new PullServer(state);
         this.spreader = new Spreader(state, puller, watcher, suspects);
         this.reporter = new FleetReporter(state);
@@ -225,12 +225,16 @@
         }
         // The whole content is taken from the own region while somebody there has it; regional links are paid for.
         boolean anywhere = ++bootstrapRounds > LOCAL_ROUNDS;
+        askPeers(anywhere);
+        bootstrapTimer.dispose();
+        bootstrapTimer = loop.after(bootstrapBackoff.nextMillis(), this::bootstrap);
+    }
+
+    private void askPeers(boolean anywhere) {
         for (int i = 0; i < BOOTSTRAP_PEERS; i++) {
             Peer peer = spreader.randomPeer(i == 0 ? spreader::isInDataCentre : spreader::isInRegion);
             spreader.digestTo(anywhere || peer == null ? spreader.randomPeer(any -> true) : peer);
         }
-        bootstrapTimer.dispose();
-        bootstrapTimer = loop.after(bootstrapBackoff.nextMillis(), this::bootstrap);
     }
 
     private void readInstances() {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/Puller.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Puller.java
@@ -18,17 +18,29 @@
 final class Puller {
 
     private static final long MAX_DELAY_MILLIS = 10_000;
+    /**
+     * Time for further peers to answer before a node without a version pulls its first one. The first peer to answer may
+     * come out of a partition with an older version than the node's server held before.
+     */
+    private static final long SETTLE_MILLIS = 300;
 
     private final NodeState state;
     private final Runnable onAdopted;
     private final Consumer<String> onHolderLost;
+    private final Runnable askMorePeers;
     private final PullPlan plan = new PullPlan();
     private final ContentAssembly assembly = new ContentAssembly();
     private final Backoff backoff;
     private boolean running;
     private boolean full;
 
-    Puller(NodeState state, Runnable onAdopted, Consumer<String> onHolderLost) {
+    /**
+     * Makes a puller without holders.
+     *
+     * @param askMorePeers asks further peers for their version, before the first one is pulled
+     */
+    Puller(NodeState state, Runnable onAdopted, Consumer<String> onHolderLost, Runnable askMorePeers) {
+        this.askMorePeers = askMorePeers;
         this.state = state;
         this.onAdopted = onAdopted;
         this.onHolderLost = onHolderLost;
@@ -45,7 +57,14 @@
             return;
         }
         plan.add(holder);
-        if (!running) {
+        if (running) {
+            return;
+        }
+        if (state.tracker.active() == null) {
+            running = true;
+            askMorePeers.run();
+            state.loop.after(SETTLE_MILLIS, this::next);
+        } else {
             next();
         }
     }
