--- a/jaywick-cli/src/main/java/io/jaywick/cli/scenario/DistributionDriver.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/scenario/DistributionDriver.java
@@ -9,6 +9,7 @@
 /** Runs scenarios of version distribution on {@link DistributionFleet}. */
 final class DistributionDriver implements ScenarioDriver {
 
+    private static final String REGION = "region:";
     private static final int SHOWN = 5;
 
     private final DistributionFleet fleet;
@@ -21,7 +22,7 @@
 
     @Override
     public void apply(Scenario.Event event) {
-        List<String> servers = ServerSelector.select(event, fleet.servers(), fleet::serversIn, time.random());
+        List<String> servers = ServerSelector.select(event, fleet.servers(), this::special, time.random());
         switch (event.action()) {
             case "edit" -> fleet.publish(true);
             case "bad-edit" -> fleet.publish(false);
@@ -67,6 +68,10 @@
         };
     }
 
+    private List<String> special(String selector) {
+        return selector.startsWith(REGION) ? fleet.serversIn(selector.substring(REGION.length())) : null;
+    }
+
     private List<String> late(Scenario.Expectation expectation) {
         long untilNanos =
                 expectation.toMillis() == null ? Long.MAX_VALUE : TimeUnit.MILLISECONDS.toNanos(expectation.toMillis());
--- a/jaywick-cli/src/main/java/io/jaywick/cli/scenario/LimitsDriver.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/scenario/LimitsDriver.java
@@ -17,6 +17,7 @@
 final class LimitsDriver implements ScenarioDriver {
 
     private static final String HOLDER = "holder:";
+    private static final String REGION = "region:";
 
     private final LimitFleet fleet;
     private final LimitFleetOptions options;
@@ -109,15 +110,20 @@
         if (event.action().equals("roster-add")) {
             return List.of();
         }
-        List<String> all = new ArrayList<>(fleet.servers());
-        List<String> selectors = event.serversOrNone();
-        if (selectors.size() == 1 && selectors.get(0).startsWith(HOLDER)) {
-            int rank = Integer.parseInt(selectors.get(0).substring(HOLDER.length()));
-            return List.of(new Roster(all)
+        return ServerSelector.select(event, new ArrayList<>(fleet.servers()), this::special, time.random());
+    }
+
+    private List<String> special(String selector) {
+        if (selector.startsWith(REGION)) {
+            return fleet.serversIn(selector.substring(REGION.length()));
+        }
+        if (selector.startsWith(HOLDER)) {
+            int rank = Integer.parseInt(selector.substring(HOLDER.length()));
+            return List.of(new Roster(fleet.servers())
                     .holders(LimitFleet.PARTY, options.holdersPerParty())
                     .get(rank - 1));
         }
-        return ServerSelector.select(event, all, fleet::serversIn, time.random());
+        return null;
     }
 
     private static LimitStrategy strategy(String key) {
