--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/EgressCall.java
@@ -14,7 +14,6 @@
 import io.jaywick.core.message.SuspectEntry;
 import io.jaywick.core.record.CallOutcome;
 import io.jaywick.core.record.CallUsage;
-import io.jaywick.core.record.UsageClaimException;
 import io.jaywick.core.retry.AttemptResult;
 import io.jaywick.core.routing.CallPlan;
 import io.jaywick.core.routing.RefusalReason;
@@ -32,8 +31,6 @@
 /** One call from the caller beside the node, with all its attempts. */
 final class EgressCall {
 
-    private static final System.Logger LOG = System.getLogger(EgressCall.class.getName());
-
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EgressServer server;
@@ -89,7 +86,8 @@
     }
 
     Mono<Void> run() {
-        RefusalReason refusal = claim() ? refusal() : RefusalReason.NO_RECORD;
+        claimed = UsageClaims.tryClaim(context.usage()::callStarted);
+        RefusalReason refusal = claimed ? refusal() : RefusalReason.NO_RECORD;
         Mono<CallEnd> result;
         if (refusal == null) {
             result = send();
@@ -111,17 +109,6 @@
         });
     }
 
-    /** Claims the call in the usage record; a call that cannot be claimed is refused and not counted. */
-    private boolean claim() {
-        try {
-            context.usage().callStarted();
-            claimed = true;
-        } catch (UsageClaimException e) {
-            LOG.log(System.Logger.Level.WARNING, "call refused without a claim", e);
-        }
-        return claimed;
-    }
-
     private RefusalReason refusal() {
         if (server.isClosing()) {
             return RefusalReason.DRAINING;
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/IngressCall.java
@@ -13,7 +13,6 @@
 import io.jaywick.core.message.SuspectEntry;
 import io.jaywick.core.record.CallOutcome;
 import io.jaywick.core.record.DispatchUsage;
-import io.jaywick.core.record.UsageClaimException;
 import io.jaywick.core.retry.KeyPlacements;
 import io.jaywick.core.routing.RefusalReason;
 import io.jaywick.core.snapshot.HomeRegions;
@@ -34,8 +33,6 @@
 /** One call for the target beside the node. */
 final class IngressCall {
 
-    private static final System.Logger LOG = System.getLogger(IngressCall.class.getName());
-
     private static final long NANOS_PER_MILLI = 1_000_000;
     /**
      * A waiting nested call holds the slots of all calls above it. Without a bound, deep calls that wait for each other
@@ -195,7 +192,7 @@
             return refuse(RefusalReason.DUPLICATE_KEY);
         }
         keyRecorded = isKeyed();
-        if (!claim()) {
+        if (!UsageClaims.tryClaim(context.usage()::dispatchStarted)) {
             if (keyRecorded) {
                 server.keys().withdraw(party.name(), key);
             }
@@ -221,17 +218,6 @@
                 .flatMap(this::deliver);
     }
 
-    /** Claims the dispatch in the usage record before the target sees a byte. */
-    private boolean claim() {
-        try {
-            context.usage().dispatchStarted();
-            return true;
-        } catch (UsageClaimException e) {
-            LOG.log(System.Logger.Level.WARNING, "call refused without a claim", e);
-            return false;
-        }
-    }
-
     private void fillHeaders(HttpHeaders out) {
         Relay.copy(headers, out);
         out.set(CallHeaders.CALL_ID, callId);
