--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/Backoff.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/Backoff.java
@@ -8,19 +8,26 @@
     /** Upper bound of the first wait in milliseconds. */
     public static final long FIRST_MILLIS = 200;
 
-    /** Upper bound of every wait in milliseconds. */
+    /** Upper bound of every wait in milliseconds, unless another is given. */
     public static final long MAX_MILLIS = 10_000;
 
     private final RandomGenerator random;
+    private final long maxMillis;
     private int failures;
 
     public Backoff(RandomGenerator random) {
+        this(random, MAX_MILLIS);
+    }
+
+    /** Makes a backoff whose waits stay below a bound in milliseconds. */
+    public Backoff(RandomGenerator random, long maxMillis) {
         this.random = random;
+        this.maxMillis = maxMillis;
     }
 
     /** Counts one failure and returns how long to wait before the next attempt. */
     public long nextMillis() {
-        long bound = Math.min(MAX_MILLIS, FIRST_MILLIS << Math.min(failures, 10));
+        long bound = Math.min(maxMillis, FIRST_MILLIS << Math.min(failures, 10));
         failures++;
         return random.nextLong(bound + 1);
     }
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -0,0 +1,122 @@
+package io.jaywick.core.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import io.jaywick.core.rules.RuleSet;
+
+/**
+ * Folds what the platform publishes into views. Rules never go back to an older version. Entries that vanish in bulk,
+ * or right after the platform was out of reach, are kept for a grace period, because live instances register again
+ * shortly after the platform returns. Not thread-safe.
+ */
+public final class FleetState {
+
+    /** Live instances are listed again about two seconds after the platform's return, as the platform promises. */
+    public static final long LAPSE_GRACE_MILLIS = 2_000;
+
+    /** Share of the entries that vanish together only when the platform lost them. */
+    private static final double BULK_SHARE = 0.2;
+
+    /** A planned removal takes fewer entries at once than this in a small fleet. */
+    private static final int BULK_MIN = 3;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final LongSupplier nanoTime;
+    private final Map<String, Instance> instances = new HashMap<>();
+    private final Map<String, Long> lapsedUntilNanos = new HashMap<>();
+    private final Set<String> evacuated = new HashSet<>();
+    private RuleSet rules = RuleSet.EMPTY;
+    private FleetView view = new FleetView(rules, Set.of(), Set.of());
+    private long graceUntilNanos;
+    private boolean inGrace;
+
+    public FleetState(LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
+    }
+
+    /** The newest view; the same object until something changes. */
+    public FleetView view() {
+        return view;
+    }
+
+    /** Applies a version of the rules; returns false, and changes nothing, when it is not newer than the one held. */
+    public boolean adopt(RuleSet newer) {
+        if (newer.version() <= rules.version()) {
+            return false;
+        }
+        rules = newer;
+        return true;
+    }
+
+    /** Notes an entry of the platform's list. */
+    public void put(Instance instance) {
+        lapsedUntilNanos.remove(instance.id());
+        instances.put(instance.id(), instance);
+    }
+
+    /** Notes that entries vanished in one step. */
+    public void remove(Set<String> ids) {
+        boolean bulk = ids.size() >= BULK_MIN && ids.size() >= BULK_SHARE * instances.size();
+        long now = nanoTime.getAsLong();
+        boolean grace = inGrace && now - graceUntilNanos < 0;
+        for (String id : ids) {
+            Instance known = instances.get(id);
+            if (known == null) {
+                continue;
+            }
+            if (!known.draining() && (bulk || grace)) {
+                long until = grace ? graceUntilNanos : now + LAPSE_GRACE_MILLIS * NANOS_PER_MILLI;
+                lapsedUntilNanos.putIfAbsent(id, until);
+            } else {
+                instances.remove(id);
+                lapsedUntilNanos.remove(id);
+            }
+        }
+    }
+
+    /** Notes that the platform answers again after it was out of reach. */
+    public void regained() {
+        inGrace = true;
+        graceUntilNanos = nanoTime.getAsLong() + LAPSE_GRACE_MILLIS * NANOS_PER_MILLI;
+    }
+
+    /** Drops vanished entries whose grace period is over; returns whether there were any. */
+    public boolean expireLapsed() {
+        long now = nanoTime.getAsLong();
+        Set<String> over = new HashSet<>();
+        for (Map.Entry<String, Long> lapsed : lapsedUntilNanos.entrySet()) {
+            if (now - lapsed.getValue() >= 0) {
+                over.add(lapsed.getKey());
+            }
+        }
+        for (String id : over) {
+            lapsedUntilNanos.remove(id);
+            instances.remove(id);
+        }
+        return !over.isEmpty();
+    }
+
+    public void evacuate(String dataCentre) {
+        evacuated.add(dataCentre);
+    }
+
+    public void restore(String dataCentre) {
+        evacuated.remove(dataCentre);
+    }
+
+    /** Ids of the entries held, those that lapsed included. */
+    public Set<String> instanceIds() {
+        return Set.copyOf(instances.keySet());
+    }
+
+    /** Makes the view of all that was noted so far. */
+    public FleetView publish() {
+        view = new FleetView(rules, instances.values(), evacuated);
+        return view;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetView.java
@@ -0,0 +1,56 @@
+package io.jaywick.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import io.jaywick.core.rules.RuleSet;
+
+/** What a node believes at one moment: rules, usable instances and evacuated data centres. Immutable. */
+public final class FleetView {
+
+    private final RuleSet rules;
+    private final Map<String, Instance> instances = new HashMap<>();
+    private final Map<String, List<Instance>> byService = new HashMap<>();
+    private final Set<String> evacuated;
+
+    public FleetView(RuleSet rules, Collection<Instance> instances, Set<String> evacuated) {
+        this.rules = rules;
+        this.evacuated = Set.copyOf(evacuated);
+        for (Instance instance : instances) {
+            this.instances.put(instance.id(), instance);
+            byService
+                    .computeIfAbsent(instance.service(), service -> new ArrayList<>())
+                    .add(instance);
+        }
+    }
+
+    public RuleSet rules() {
+        return rules;
+    }
+
+    /** Returns the instances of a service, those that leave included. */
+    public List<Instance> instancesOf(String service) {
+        return byService.getOrDefault(service, List.of());
+    }
+
+    /** Returns an instance by its id, or null. */
+    public Instance instance(String id) {
+        return instances.get(id);
+    }
+
+    public Collection<Instance> instances() {
+        return instances.values();
+    }
+
+    public boolean isEvacuated(String dataCentre) {
+        return evacuated.contains(dataCentre);
+    }
+
+    public Set<String> evacuated() {
+        return evacuated;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -0,0 +1,187 @@
+package io.jaywick.core.gate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.LongSupplier;
+
+/**
+ * Admits calls to the target beside the node. It holds no more calls at the target than the target has slots; further
+ * ones wait by priority and then by latency objective. A call that cannot be answered before its deadline is refused
+ * at once, and a trial call as soon as it would miss its objective, so that the caller can go elsewhere. Not
+ * thread-safe.
+ */
+public final class TargetGate {
+
+    /** Slots assumed until the target's entry is known. */
+    private static final int FIRST_SLOTS = 4;
+
+    /** Memory bound of the queue; the deadlines of the calls keep it far shorter. */
+    private static final int MAX_WAITING = 512;
+
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
+    private final LongSupplier nanoTime;
+    private final ColdBudget starts = new ColdBudget();
+    private final ServiceTimes times = new ServiceTimes();
+    private final List<GateCall> waiting = new ArrayList<>();
+    private int slots = FIRST_SLOTS;
+    private int running;
+    private boolean cold;
+    private long coldUntilNanos;
+    private double coldCallsPerSecond;
+
+    public TargetGate(LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
+    }
+
+    public void setSlots(int slots) {
+        this.slots = Math.max(1, slots);
+        pump();
+    }
+
+    /** Bounds the calls of each second until the given moment. */
+    public void setCold(long untilNanos, double callsPerSecond) {
+        cold = callsPerSecond > 0;
+        coldUntilNanos = untilNanos;
+        coldCallsPerSecond = callsPerSecond;
+    }
+
+    public boolean isCold() {
+        return cold && nanoTime.getAsLong() - coldUntilNanos < 0;
+    }
+
+    public int running() {
+        return running;
+    }
+
+    public int waiting() {
+        return waiting.size();
+    }
+
+    /** Admits or queues a call, which is then told by its own methods, or returns why it is refused. */
+    public GateRefusal offer(GateCall call) {
+        long now = nanoTime.getAsLong();
+        if (now - call.deadlineNanos >= 0) {
+            return GateRefusal.DEADLINE;
+        }
+        boolean free = running < slots && waiting.isEmpty();
+        if (free && isColdBudgetUsedUp(now)) {
+            return GateRefusal.COLD;
+        }
+        double workMillis = times.millis(call.route);
+        double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
+        // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
+        if (call.trial && running > 0 && endNanos > call.objectiveNanos) {
+            return isColdBudgetUsedUp(now) ? GateRefusal.COLD : GateRefusal.BUSY;
+        }
+        if (!free && (endNanos > call.deadlineNanos || waiting.size() >= MAX_WAITING)) {
+            return GateRefusal.OVERLOADED;
+        }
+        if (free) {
+            start(call, now);
+        } else {
+            call.state = GateCall.State.WAITING;
+            waiting.add(call);
+        }
+        return null;
+    }
+
+    /** Expected wait in milliseconds of a call that comes now. */
+    public long waitMillis(int priority) {
+        if (running < slots && waiting.isEmpty()) {
+            return 0;
+        }
+        int ahead = Math.max(0, running - slots);
+        for (GateCall call : waiting) {
+            if (call.priority <= priority) {
+                ahead++;
+            }
+        }
+        return (long) Math.ceil((ahead + 1) * times.overallMillis() / slots);
+    }
+
+    /** The target has answered the call or lost it; its work counts for the estimates when it was answered. */
+    public void ended(GateCall call, boolean answered) {
+        if (call.state != GateCall.State.RUNNING) {
+            return;
+        }
+        call.state = GateCall.State.ENDED;
+        running--;
+        if (answered) {
+            times.observe(call.route, nanoTime.getAsLong() - call.startedNanos);
+        }
+        pump();
+    }
+
+    /** The caller has left; a running call keeps its slot until {@link #ended}. */
+    public void cancel(GateCall call) {
+        if (call.state == GateCall.State.WAITING) {
+            waiting.remove(call);
+            call.state = GateCall.State.ENDED;
+        }
+    }
+
+    /** Refuses every call that waits. */
+    public void refuseWaiting(GateRefusal reason) {
+        for (GateCall call : List.copyOf(waiting)) {
+            refuse(call, reason);
+        }
+    }
+
+    /** Starts what can be started and refuses what can no longer be answered in time; called at each short interval. */
+    public void pump() {
+        long now = nanoTime.getAsLong();
+        for (GateCall call : List.copyOf(waiting)) {
+            if (now + times.millis(call.route) * NANOS_PER_MILLI / 2 > call.deadlineNanos) {
+                refuse(call, GateRefusal.DEADLINE);
+            }
+        }
+        while (running < slots && !waiting.isEmpty() && !isColdBudgetUsedUp(now)) {
+            GateCall next = best(now);
+            waiting.remove(next);
+            start(next, now);
+        }
+    }
+
+    private void refuse(GateCall call, GateRefusal reason) {
+        if (waiting.remove(call)) {
+            call.state = GateCall.State.ENDED;
+            call.refused(reason);
+        }
+    }
+
+    private void start(GateCall call, long now) {
+        call.state = GateCall.State.RUNNING;
+        call.startedNanos = now;
+        running++;
+        starts.started(now);
+        call.admitted();
+    }
+
+    private GateCall best(long now) {
+        GateCall best = null;
+        for (GateCall call : waiting) {
+            if (best == null || comesBefore(call, best, now)) {
+                best = call;
+            }
+        }
+        return best;
+    }
+
+    /** Higher priority first; then calls that can still meet their objective, the most urgent of them first. */
+    private boolean comesBefore(GateCall a, GateCall b, long now) {
+        if (a.priority != b.priority) {
+            return a.priority < b.priority;
+        }
+        boolean aInTime = now + times.millis(a.route) * NANOS_PER_MILLI <= a.objectiveNanos;
+        boolean bInTime = now + times.millis(b.route) * NANOS_PER_MILLI <= b.objectiveNanos;
+        if (aInTime != bInTime) {
+            return aInTime;
+        }
+        return a.objectiveNanos < b.objectiveNanos;
+    }
+
+    private boolean isColdBudgetUsedUp(long now) {
+        return cold && now - coldUntilNanos < 0 && starts.startsOfLastSecond(now) + 1 > coldCallsPerSecond;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -0,0 +1,62 @@
+package io.jaywick.core.placement;
+
+/** What one node knows of the load and the failures of one instance. Not thread-safe. */
+final class InstanceLoad {
+
+    /** A report of waiting time loses half of its weight in this time, about one service time of a short call. */
+    private static final double REPORT_HALF_LIFE_MILLIS = 200;
+
+    /** First time that an unreachable instance is left out; it doubles with each further failure. */
+    private static final long FIRST_AVOID_MILLIS = 100;
+
+    /** Longest time that an instance is left out; an instance that returns gets calls within this time. */
+    private static final long MAX_AVOID_MILLIS = 2_000;
+
+    private static final double NANOS_PER_MILLI = 1_000_000;
+
+    private int inFlight;
+    private double reportedWaitMillis;
+    private long reportedNanos;
+    private long avoidUntilNanos;
+    private int failuresInRow;
+    private boolean avoided;
+
+    void started() {
+        inFlight++;
+    }
+
+    void ended() {
+        inFlight--;
+    }
+
+    void reported(long waitMillis, long nowNanos) {
+        reportedWaitMillis = waitMillis;
+        reportedNanos = nowNanos;
+    }
+
+    void succeeded() {
+        failuresInRow = 0;
+        avoided = false;
+    }
+
+    void failed(long nowNanos) {
+        long millis = Math.min(MAX_AVOID_MILLIS, FIRST_AVOID_MILLIS << Math.min(failuresInRow, 10));
+        failuresInRow++;
+        avoid(millis, nowNanos);
+    }
+
+    void avoid(long millis, long nowNanos) {
+        avoided = true;
+        avoidUntilNanos = nowNanos + (long) (millis * NANOS_PER_MILLI);
+    }
+
+    boolean isAvoided(long nowNanos) {
+        return avoided && nowNanos - avoidUntilNanos < 0;
+    }
+
+    /** Expected wait in milliseconds of a call that is sent now; calls of this node count a little each. */
+    double score(long nowNanos) {
+        double ageMillis = (nowNanos - reportedNanos) / NANOS_PER_MILLI;
+        return reportedWaitMillis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS) + inFlight;
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
@@ -0,0 +1,137 @@
+package io.jaywick.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.fleet.Instance;
+
+/**
+ * Orders the instances of a service for one call: nearest first, because bytes between data centres are paid for, and
+ * among equally near ones the least loaded first. Instances that leave, whose data centre is evacuated or whose region
+ * is no home of the call are never named. Not thread-safe.
+ */
+public final class Placement {
+
+    private final String host;
+    private final String dataCentre;
+    private final String region;
+    private final Map<String, String> regionByDataCentre;
+    private final LongSupplier nanoTime;
+    private final RandomGenerator random;
+    private final Map<String, InstanceLoad> loads = new HashMap<>();
+
+    public Placement(
+            String host,
+            String dataCentre,
+            String region,
+            Map<String, String> regionByDataCentre,
+            LongSupplier nanoTime,
+            RandomGenerator random) {
+        this.host = host;
+        this.dataCentre = dataCentre;
+        this.region = region;
+        this.regionByDataCentre = regionByDataCentre;
+        this.nanoTime = nanoTime;
+        this.random = random;
+    }
+
+    private record Scored(Instance instance, Distance distance, boolean avoided, double score) {}
+
+    /**
+     * Returns the instances that may take a call, in the order in which they are asked. Instances that failed lately
+     * come last.
+     *
+     * @param homeRegions regions in which the call may be processed; empty means any
+     */
+    public List<Instance> order(FleetView view, String service, Set<String> homeRegions) {
+        long now = nanoTime.getAsLong();
+        List<Scored> scored = new ArrayList<>();
+        for (Instance instance : view.instancesOf(service)) {
+            if (isUsable(view, instance, homeRegions)) {
+                InstanceLoad load = load(instance.id());
+                scored.add(new Scored(
+                        instance,
+                        distance(instance),
+                        load.isAvoided(now),
+                        load.score(now) + random.nextDouble()));
+            }
+        }
+        scored.sort((a, b) -> {
+            int order = Boolean.compare(a.avoided, b.avoided);
+            order = order != 0 ? order : a.distance.compareTo(b.distance);
+            return order != 0 ? order : Double.compare(a.score, b.score);
+        });
+        List<Instance> order = new ArrayList<>(scored.size());
+        for (Scored entry : scored) {
+            order.add(entry.instance);
+        }
+        return order;
+    }
+
+    /** Whether an instance may take new calls. */
+    public boolean isUsable(FleetView view, Instance instance, Set<String> homeRegions) {
+        return !instance.draining()
+                && !view.isEvacuated(instance.dataCentre())
+                && (homeRegions.isEmpty() || homeRegions.contains(regionByDataCentre.get(instance.dataCentre())));
+    }
+
+    public Distance distance(Instance instance) {
+        if (instance.host().equals(host)) {
+            return Distance.SAME_INSTANCE;
+        }
+        if (instance.dataCentre().equals(dataCentre)) {
+            return Distance.SAME_DATA_CENTRE;
+        }
+        return region.equals(regionByDataCentre.get(instance.dataCentre()))
+                ? Distance.SAME_REGION
+                : Distance.OTHER_REGION;
+    }
+
+    /** Expected wait in milliseconds, as last reported. */
+    public double expectedWaitMillis(String instanceId) {
+        return load(instanceId).score(nanoTime.getAsLong());
+    }
+
+    public void started(String instanceId) {
+        load(instanceId).started();
+    }
+
+    public void ended(String instanceId) {
+        load(instanceId).ended();
+    }
+
+    /** Notes the wait that the node beside an instance reported with an answer or a refusal. */
+    public void reported(String instanceId, long waitMillis) {
+        load(instanceId).reported(waitMillis, nanoTime.getAsLong());
+    }
+
+    public void succeeded(String instanceId) {
+        load(instanceId).succeeded();
+    }
+
+    /** Notes that an instance could not be reached or lost a call. */
+    public void failed(String instanceId) {
+        load(instanceId).failed(nanoTime.getAsLong());
+    }
+
+    /** Leaves an instance out for a time. */
+    public void avoid(String instanceId, long millis) {
+        load(instanceId).avoid(millis, nanoTime.getAsLong());
+    }
+
+    /** Forgets the instances that are no longer listed. */
+    public void retain(Collection<String> instanceIds) {
+        loads.keySet().retainAll(instanceIds);
+    }
+
+    private InstanceLoad load(String instanceId) {
+        return loads.computeIfAbsent(instanceId, id -> new InstanceLoad());
+    }
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/Router.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/Router.java
@@ -19,6 +19,7 @@
 import io.jaywick.core.snapshot.Server;
 import io.jaywick.core.snapshot.Service;
 import io.jaywick.core.snapshot.Snapshot;
+import io.jaywick.core.snapshot.WeightedService;
 
 /**
  * Chooses service and target of each call at the node beside the caller. Thread-safe. Home regions and the state of
@@ -39,7 +40,7 @@
     private final String region;
     private final RandomGenerator random;
     private final LongSupplier nanoTime;
-    private final Map<String, SmoothWeights> weights = new ConcurrentHashMap<>();
+    private final Map<String, SmoothWeights<WeightedService>> weights = new ConcurrentHashMap<>();
     private final Map<String, TargetState> targets = new ConcurrentHashMap<>();
     private final Map<String, OutlierEjector> ejectors = new ConcurrentHashMap<>();
     private volatile Snapshot known;
@@ -70,7 +71,7 @@
         }
         String key = route.idempotent() ? null : idempotencyKey;
         Service service =
-                key == null ? weightsOf(route).choose(route.services()) : KeyHome.service(route, party.name(), key);
+                key == null ? weightsOf(route).choose(route.services()).service() : KeyHome.service(route, party.name(), key);
         Set<String> homeRegions =
                 HomeRegions.intersection(route.homeRegions(), service.homeRegions(), party.homeRegions());
         RefusalReason refusal = HomeRegions.allows(homeRegions, region) ? null : RefusalReason.OUTSIDE_HOME_REGIONS;
@@ -203,11 +204,15 @@
         return server.dataCentre().region().equals(region) ? 1 : 2;
     }
 
-    private SmoothWeights weightsOf(Route route) {
-        SmoothWeights found = weights.get(route.name());
+    private SmoothWeights<WeightedService> weightsOf(Route route) {
+        SmoothWeights<WeightedService> found = weights.get(route.name());
         return found != null
                 ? found
-                : weights.computeIfAbsent(route.name(), name -> new SmoothWeights(route.services(), random));
+                : weights.computeIfAbsent(route.name(), name -> new SmoothWeights<>(
+                                route.services(),
+                                part -> part.service().name(),
+                                WeightedService::weightPercent,
+                                random));
     }
 
     private TargetState state(Server server) {
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
@@ -0,0 +1,102 @@
+package io.jaywick.core.rules;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** One version of the operator's rules. Lookups take the longest prefix of a path among the routes of its host. */
+public final class RuleSet {
+
+    /** Holds no route; no version that an operator wrote is as low. */
+    public static final RuleSet EMPTY =
+            new RuleSet(-1, List.of(), List.of(), CallerLimits.DEFAULTS);
+
+    private final long version;
+    private final Map<String, Map<String, RouteRule>> routesByHost = new HashMap<>();
+    private final Map<String, ServiceRule> services = new HashMap<>();
+    private final CallerLimits callerLimits;
+    private final int routes;
+
+    public RuleSet(
+            long version,
+            Collection<RouteRule> routes,
+            Collection<ServiceRule> services,
+            CallerLimits callerLimits) {
+        this.version = version;
+        this.callerLimits = callerLimits;
+        this.routes = routes.size();
+        for (ServiceRule service : services) {
+            this.services.put(service.name(), service);
+        }
+        for (RouteRule route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+                    .put(route.prefix(), route);
+        }
+    }
+
+    public long version() {
+        return version;
+    }
+
+    /** Whether an operator wrote this version. */
+    public boolean isKnown() {
+        return version >= 0;
+    }
+
+    public int routeCount() {
+        return routes;
+    }
+
+    public CallerLimits callerLimits() {
+        return callerLimits;
+    }
+
+    /** Returns the rule of a service, or null. */
+    public ServiceRule service(String name) {
+        return services.get(name);
+    }
+
+    /**
+     * Returns the route of a call, or null.
+     *
+     * @param host value of the Host header, with or without a port
+     * @param uri request target; the query does not count
+     */
+    public RouteRule route(String host, String uri) {
+        if (host == null) {
+            return null;
+        }
+        Map<String, RouteRule> byPrefix = routesByHost.get(hostName(host));
+        if (byPrefix == null) {
+            return null;
+        }
+        String path = path(uri);
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            RouteRule route = byPrefix.get(path.substring(0, slash + 1));
+            if (route != null) {
+                return route;
+            }
+        }
+        return null;
+    }
+
+    private static String hostName(String host) {
+        int colon = host.lastIndexOf(':');
+        boolean port = colon >= 0 && host.indexOf(']', colon) < 0;
+        return (port ? host.substring(0, colon) : host).toLowerCase(Locale.ROOT);
+    }
+
+    private static String path(String uri) {
+        int query = uri.indexOf('?');
+        String path = query < 0 ? uri : uri.substring(0, query);
+        int scheme = path.indexOf("://");
+        if (path.startsWith("/") || scheme < 0) {
+            return path;
+        }
+        int slash = path.indexOf('/', scheme + 3);
+        return slash < 0 ? "/" : path.substring(slash);
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/log/JsonLoggerFinder.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/JsonLoggerFinder.java
@@ -1,9 +1,10 @@
 package io.jaywick.node.log;
 
+import java.io.PrintStream;
 import java.time.InstantSource;
 
 /**
- * Makes the runtime's {@link System.Logger} write JSON lines on standard error. The system property
+ * Makes the runtime's {@link System.Logger} write JSON lines on standard error, or on another stream. The system property
  * {@code jaywick.log.level} sets the least level, by default INFO.
  */
 public final class JsonLoggerFinder extends System.LoggerFinder {
@@ -11,6 +12,7 @@
     private static final String LEVEL_PROPERTY = "jaywick.log.level";
 
     private static volatile String node;
+    private static volatile PrintStream output = System.err;
 
     private final System.Logger.Level threshold = threshold(System.getProperty(LEVEL_PROPERTY));
 
@@ -22,13 +24,18 @@
         node = server;
     }
 
+    /** Sets the stream of later lines; standard error unless set. */
+    public static void setOutput(PrintStream stream) {
+        output = stream;
+    }
+
     static String node() {
         return node;
     }
 
     @Override
     public System.Logger getLogger(String name, Module module) {
-        return new JsonLogger(name, threshold, InstantSource.system(), line -> System.err.println(line));
+        return new JsonLogger(name, threshold, InstantSource.system(), line -> output.println(line));
     }
 
     private static System.Logger.Level threshold(String name) {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -13,6 +13,7 @@
 import io.jaywick.core.message.ErrorReply;
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.Message;
+import io.jaywick.core.message.Ping;
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.frame.FrameException;
@@ -27,6 +28,9 @@
 
     private static final long HELLO_ID = 0;
 
+    /** A live peer answers a ping in one round trip; two lost packets in a row are still borne. */
+    private static final int MAX_SILENT_PINGS = 3;
+
     private final String address;
     private final FrameCodec codec;
     private final PeerTraffic traffic;
@@ -42,6 +46,7 @@
     private boolean ready;
     private boolean closed;
     private long lastId = HELLO_ID;
+    private int silentPings;
 
     PeerConnection(
             String address,
@@ -122,9 +127,37 @@
         // Both neighbouring versions accept a greeting in the newest version of this side.
         channel.send(codec.maxVersion(), HELLO_ID, hello);
         expire(HELLO_ID);
+        if (limits.pingMillis() > 0) {
+            schedulePing();
+        }
+    }
+
+    private void schedulePing() {
+        channel.channel().eventLoop().schedule(this::ping, limits.pingMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Runs on the thread of the connection, like {@link #received}. */
+    private void ping() {
+        boolean asks;
+        synchronized (this) {
+            if (closed) {
+                return;
+            }
+            asks = ready && !waiting.isEmpty();
+        }
+        if (!asks) {
+            silentPings = 0;
+        } else if (++silentPings > MAX_SILENT_PINGS) {
+            end(new PeerException(PeerException.Kind.TIMEOUT, address + " is silent"), true);
+            return;
+        } else if (silentPings > 1) {
+            request(new Ping(silentPings));
+        }
+        schedulePing();
     }
 
     private void received(Frame frame) {
+        silentPings = 0;
         if (frame.id() == HELLO_ID) {
             if (frame.message() instanceof Hello peer) {
                 greeted(peer);
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/TcpPeerLink.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/TcpPeerLink.java
@@ -94,7 +94,7 @@
             failures.clear();
         }
         failures.compute(connection.address(), (address, known) -> {
-            Failure failure = known == null ? new Failure(new Backoff(random)) : known;
+            Failure failure = known == null ? new Failure(new Backoff(random, limits.maxBackoffMillis())) : known;
             failure.untilNanos = System.nanoTime() + failure.backoff.nextMillis() * 1_000_000;
             return failure;
         });
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientRequest.java
@@ -0,0 +1,28 @@
+package io.jaywick.node.relay;
+
+import java.util.List;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/** A whole request of a caller beside the node. */
+record ClientRequest(String method, String uri, HttpHeaders headers, byte[] body, long receivedNanos) {
+
+    private static final long MAX_MILLIS = 86_400_000;
+
+    String host() {
+        return headers.get("Host");
+    }
+
+    /** Returns a header with a duration in milliseconds; an absent or unreadable one counts as {@code absent}. */
+    long millis(String name, long absent) {
+        List<String> values = headers.getAll(name);
+        if (values.isEmpty()) {
+            return absent;
+        }
+        try {
+            return Math.max(0, Math.min(MAX_MILLIS, Long.parseLong(values.get(0).trim())));
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -0,0 +1,130 @@
+package io.jaywick.node.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+import io.jaywick.core.message.ForwardAnswer;
+import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.message.ForwardCancel;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.core.message.Ping;
+import io.jaywick.core.message.UpToDate;
+import io.jaywick.node.peer.MessageHandlers;
+import io.jaywick.node.peer.PeerException;
+
+/** Calls between nodes: sends those for targets beside other nodes, and takes those for the target beside this one. */
+final class PeerCalls {
+
+    private static final UpToDate DONE = new UpToDate(0, "");
+
+    private final PeerLink link;
+    private final CallTarget local;
+    private final RelayLog log;
+    private final Map<String, Taken> taken = new HashMap<>();
+
+    private record Taken(PendingCall pending, CompletableFuture<Message> reply) {}
+
+    PeerCalls(PeerLink link, CallTarget local, RelayLog log) {
+        this.link = link;
+        this.local = local;
+        this.log = log;
+    }
+
+    /** Takes over the messages of other nodes. */
+    void register(MessageHandlers handlers) {
+        handlers.register(ForwardCall.class, message -> take((ForwardCall) message));
+        handlers.register(ForwardCancel.class, message -> cancel((ForwardCancel) message));
+        handlers.register(Ping.class, message -> CompletableFuture.completedFuture(DONE));
+    }
+
+    /** Number of calls taken from other nodes that are under way. */
+    int taken() {
+        return taken.size();
+    }
+
+    /** Returns the way to the target beside another node. */
+    CallTarget at(String peerAddress) {
+        return (call, done) -> {
+            CompletableFuture<Message> reply = link.request(peerAddress, call);
+            reply.whenComplete((message, failure) -> {
+                if (!reply.isCancelled()) {
+                    done.accept(failure == null ? result(message) : failed(failure));
+                }
+            });
+            return () -> {
+                if (reply.cancel(false)) {
+                    link.request(peerAddress, new ForwardCancel(call.callId())).whenComplete((message, failure) -> {
+                        if (failure != null) {
+                            log.debug("cancellation not delivered", "peer", peerAddress, "callId", call.callId());
+                        }
+                    });
+                }
+            };
+        };
+    }
+
+    private CallResult result(Message message) {
+        if (message instanceof ForwardAnswer answer) {
+            try {
+                return new CallResult(
+                        CallResult.Outcome.valueOf(answer.outcome()),
+                        answer.reason(),
+                        answer.status(),
+                        answer.headers(),
+                        answer.body(),
+                        answer.waitMillis());
+            } catch (IllegalArgumentException e) {
+                log.warning("unknown outcome from a peer", "outcome", answer.outcome());
+                return CallResult.lost("peer-answer");
+            }
+        }
+        return CallResult.refused("peer-busy");
+    }
+
+    /** Only a connection that was never made, or a full queue, proves that the call did not leave this node. */
+    private static CallResult failed(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof PeerException known) {
+            return switch (known.kind()) {
+                case UNREACHABLE, QUEUE_FULL -> CallResult.refused("peer-unreachable");
+                case TIMEOUT -> CallResult.timedOut();
+                case DISCONNECTED, REFUSED -> CallResult.lost("peer-disconnected");
+            };
+        }
+        return CallResult.lost("peer-failure");
+    }
+
+    private CompletableFuture<Message> take(ForwardCall call) {
+        CompletableFuture<Message> reply = new CompletableFuture<>();
+        PendingCall pending = local.call(call, result -> {
+            taken.remove(call.callId());
+            reply.complete(answer(result));
+        });
+        if (!reply.isDone()) {
+            taken.put(call.callId(), new Taken(pending, reply));
+        }
+        return reply;
+    }
+
+    private static ForwardAnswer answer(CallResult result) {
+        return new ForwardAnswer(
+                result.outcome().name(),
+                result.reason(),
+                result.status(),
+                result.headers(),
+                result.body(),
+                result.waitMillis());
+    }
+
+    private CompletableFuture<Message> cancel(ForwardCancel cancel) {
+        Taken call = taken.remove(cancel.callId());
+        if (call != null) {
+            call.pending.cancel();
+            call.reply.complete(answer(CallResult.lost("cancelled")));
+        }
+        return CompletableFuture.completedFuture(DONE);
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -0,0 +1,240 @@
+package io.jaywick.node.relay;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
+
+import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.placement.Placement;
+import io.jaywick.core.rules.RuleSet;
+import io.jaywick.node.frame.FrameCodec;
+import io.jaywick.node.peer.LinkLimits;
+import io.jaywick.node.peer.MessageHandlers;
+import io.jaywick.node.peer.PeerServer;
+import io.jaywick.node.peer.PeerTraffic;
+import io.jaywick.node.peer.TcpPeerLink;
+import io.jaywick.node.settings.SocketAddressParser;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+import reactor.netty.resources.LoopResources;
+
+/**
+ * One node that carries calls. It takes over each view of the fleet that the platform's reader publishes; it becomes
+ * ready with the first one that has rules and instances.
+ */
+public final class Relay implements AutoCloseable {
+
+    /** Frames that may wait for one peer; a call and its answer are one frame each. */
+    private static final int QUEUE_FRAMES = 2_048;
+
+    private static final int CONNECT_MILLIS = 1_000;
+
+    /** Calls have deadlines of their own; this only ends what a peer forgot. */
+    private static final long REPLY_MILLIS = 120_000;
+
+    private static final long IDLE_MILLIS = 60_000;
+
+    /** A silent connection is given up after four times this, about a second. */
+    private static final long PING_MILLIS = 250;
+
+    /** A peer that restarts is back within seconds. */
+    private static final long MAX_BACKOFF_MILLIS = 500;
+
+    /** Queued calls are looked at this often: their deadlines and the budget of a cold target. */
+    private static final long TICK_MILLIS = 20;
+
+    /** The platform notices that a node is not ready after two questions, one a second. */
+    private static final long LEAVE_NOTICE_MILLIS = 2_300;
+
+    /** The process ends this long before it would be killed. */
+    private static final long LEAVE_MARGIN_MILLIS = 500;
+
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    private final RelaySettings settings;
+    private final RelayLog log;
+    private final EventLoop loop;
+    private final LocalTarget local;
+    private final TargetPool pool;
+    private final OutboundCalls calls;
+    private final PeerCalls peers;
+    private final ClientListener clients;
+    private final PeerServer peerServer;
+    private final TcpPeerLink link;
+    private final DisposableServer ready;
+    private final DisposableServer metrics;
+    private final LongSupplier nanoTime;
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private volatile FleetView view = new FleetView(
+            RuleSet.EMPTY, List.of(), Set.of());
+    private volatile boolean isReady;
+    private volatile boolean leaving;
+    private long leaveStartNanos;
+
+    public Relay(
+            RelaySettings settings,
+            HeaderNames names,
+            LoopResources loops,
+            LongSupplier nanoTime,
+            RandomGenerator random,
+            PrometheusMeterRegistry registry,
+            RelayLog log) {
+        this.settings = settings;
+        this.log = log;
+        this.nanoTime = nanoTime;
+        EventLoopGroup group = loops.onServer(false);
+        this.loop = group.next();
+        MessageHandlers handlers = new MessageHandlers();
+        FrameCodec codec = new FrameCodec();
+        PeerTraffic traffic = new PeerTraffic();
+        LinkLimits limits = new LinkLimits(
+                QUEUE_FRAMES, CONNECT_MILLIS, REPLY_MILLIS, IDLE_MILLIS, PING_MILLIS, MAX_BACKOFF_MILLIS);
+        this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, random);
+        this.pool = new TargetPool(group, address(settings.targetAddress()), names, nanoTime, log);
+        this.local = new LocalTarget(settings, () -> view, pool, nanoTime, log);
+        this.peers = new PeerCalls(link, local, log);
+        peers.register(handlers);
+        this.calls = new OutboundCalls(
+                settings,
+                names,
+                () -> view,
+                new Placement(
+                        settings.host(),
+                        settings.dataCentre(),
+                        settings.region(),
+                        settings.regionByDataCentre(),
+                        nanoTime,
+                        random),
+                local,
+                peers,
+                loop,
+                nanoTime,
+                random,
+                log,
+                new RelayMeters(registry));
+        this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
+        this.clients = new ClientListener(
+                group, address(settings.outboundAddress()), calls, () -> view, names, nanoTime, log);
+        this.ready = HttpServer.create()
+                .runOn(loops, false)
+                .bindAddress(() -> address(settings.readyAddress()))
+                .route(routes -> routes.get(
+                                settings.readyPath(),
+                                (request, response) -> response.status(isReady && !leaving ? OK : UNAVAILABLE)
+                                        .send())
+)
+                .bindNow();
+        this.metrics = settings.metricsAddress() == null
+                ? null
+                : HttpServer.create()
+                        .runOn(loops, false)
+                        .bindAddress(() -> address(settings.metricsAddress()))
+                        .route(routes ->
+                                routes.get("/metrics", (request, response) -> response.header("Content-Type", "text/plain")
+                                        .sendString(Mono.fromSupplier(registry::scrape))))
+                        .bindNow();
+        loop.scheduleAtFixedRate(local::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        registry.gauge("jaywick.target.running", local, LocalTarget::running);
+        registry.gauge("jaywick.target.waiting", local, LocalTarget::waiting);
+        registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
+    }
+
+    private static InetSocketAddress address(String text) {
+        InetSocketAddress address = SocketAddressParser.parse(text);
+        if (address == null) {
+            throw new IllegalArgumentException("not an address IP:PORT: " + text);
+        }
+        return address;
+    }
+
+    private PeerEntry self() {
+        return new PeerEntry(
+                settings.name(),
+                settings.dataCentre(),
+                settings.region(),
+                settings.service(),
+                settings.peerAddress(),
+                settings.peerAddress(),
+                0,
+                0,
+                leaving);
+    }
+
+    /** Takes over a newer view; may be called from any thread. */
+    public void adopt(FleetView newer) {
+        loop.execute(() -> {
+            view = newer;
+            local.viewChanged();
+            calls.viewChanged();
+            boolean usable = newer.rules().isKnown() && !newer.instances().isEmpty();
+            if (usable && !isReady) {
+                isReady = true;
+                log.change(
+                        "node is ready",
+                        "rulesVersion", newer.rules().version(),
+                        "routes", newer.rules().routeCount(),
+                        "instances", newer.instances().size());
+            }
+        });
+    }
+
+    /** Address at which callers beside the node send their calls. */
+    public InetSocketAddress outboundAddress() {
+        return clients.address();
+    }
+
+    /**
+     * Leaves gracefully: the platform is told that the node is not ready, callers and other nodes are sent elsewhere,
+     * and the future completes when nothing is under way, or shortly before the process would be killed.
+     */
+    public CompletableFuture<Void> leave() {
+        loop.execute(() -> {
+            if (leaving) {
+                return;
+            }
+            leaving = true;
+            leaveStartNanos = nanoTime.getAsLong();
+            log.change("node leaves", "callsUnderWay", calls.inFlight(), "takenFromPeers", peers.taken());
+            local.leave();
+            clients.leave();
+            loop.scheduleAtFixedRate(this::checkLeft, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        });
+        return stopped;
+    }
+
+    private void checkLeft() {
+        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - leaveStartNanos);
+        boolean last = elapsedMillis >= settings.graceMillis() - LEAVE_MARGIN_MILLIS;
+        if (elapsedMillis < LEAVE_NOTICE_MILLIS && !last) {
+            return;
+        }
+        clients.closeIdle();
+        boolean idle = !clients.hasBusyConnections() && local.running() == 0 && peers.taken() == 0;
+        if ((idle || last) && !stopped.isDone()) {
+            log.change("node has left", "afterMillis", elapsedMillis, "cutCalls", calls.inFlight());
+            stopped.complete(null);
+        }
+    }
+
+    @Override
+    public void close() {
+        clients.close();
+        peerServer.close();
+        link.close();
+        pool.close();
+        ready.disposeNow();
+        if (metrics != null) {
+            metrics.disposeNow();
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -0,0 +1,59 @@
+package io.jaywick.node.relay;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+
+/** Counters and latency histograms of a node's calls. */
+final class RelayMeters {
+
+    private static final int STATUS_CLASS = 100;
+
+    private final MeterRegistry registry;
+    private final Map<String, Timer> latencies = new HashMap<>();
+    private final Map<String, Counter> attempts = new HashMap<>();
+    private final Counter cancelled;
+
+    RelayMeters(MeterRegistry registry) {
+        this.registry = registry;
+        this.cancelled = registry.counter("jaywick.calls.cancelled");
+    }
+
+    /** Counts the end of one call at one instance. */
+    void attempt(CallResult.Outcome outcome, String reason) {
+        attempts.computeIfAbsent(outcome + " " + reason, key -> registry.counter(
+                        "jaywick.attempts",
+                        "outcome", outcome.name().toLowerCase(Locale.ROOT),
+                        "reason", reason))
+                .increment();
+    }
+
+    /** Counts an answer to a caller. */
+    void answered(String route, int status, long millis) {
+        String statusClass = status / STATUS_CLASS + "xx";
+        latencies
+                .computeIfAbsent(route + " " + statusClass, key -> Timer.builder("jaywick.calls")
+                        .tag("route", route)
+                        .tag("status", statusClass)
+                        .publishPercentileHistogram(false)
+                        .serviceLevelObjectives(
+                                Duration.ofMillis(50),
+                                Duration.ofMillis(100),
+                                Duration.ofMillis(200),
+                                Duration.ofMillis(500),
+                                Duration.ofSeconds(1),
+                                Duration.ofSeconds(2),
+                                Duration.ofSeconds(5))
+                        .register(registry))
+                .record(Duration.ofMillis(millis));
+    }
+
+    void cancelled() {
+        cancelled.increment();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -0,0 +1,297 @@
+package io.jaywick.node.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import io.jaywick.core.message.ForwardCall;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * One connection to the target beside the node, with at most one call at a time. An answer belongs to the call only if
+ * it echoes its request id; other answers are dropped. An answer counts only when it is whole.
+ */
+final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
+
+    /** Longer answers are not held in memory; the call counts as lost. */
+    private static final int MAX_ANSWER_BYTES = 64 << 20;
+
+    private static final int STATUS_MISDIRECTED = 421;
+    private static final int STATUS_CONTINUE = 100;
+    private static final int STATUS_SUCCESS = 2;
+    private static final int STATUS_CLASS = 100;
+
+    /** Connections are closed this long before the target would, so that no call crosses its close. */
+    private static final long IDLE_MARGIN_MILLIS = 1_500;
+
+    /** Idle time after which a connection of a target that names no timeout is no longer used. */
+    private static final long DEFAULT_IDLE_MILLIS = 2_000;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final TargetPool pool;
+    private final AnswerDecoder decoder;
+    private Channel channel;
+    private Exchange exchange;
+    private boolean reusable = true;
+    private boolean belongs;
+    private boolean reset;
+    private boolean sawAnswer;
+    private long idleMillis = DEFAULT_IDLE_MILLIS;
+    private long idleSinceNanos;
+
+    TargetConnection(TargetPool pool, AnswerDecoder decoder) {
+        this.pool = pool;
+        this.decoder = decoder;
+    }
+
+    /** A call with what has arrived of its answer. */
+    private static final class Exchange {
+        final ForwardCall call;
+        final TargetPool.Listener listener;
+        final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        HttpResponse head;
+        CallResult result;
+        ScheduledFuture<?> timeout;
+
+        Exchange(ForwardCall call, TargetPool.Listener listener) {
+            this.call = call;
+            this.listener = listener;
+        }
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        channel = context.channel();
+        idleSinceNanos = pool.nanoTime();
+    }
+
+    boolean isUsable() {
+        return channel.isActive()
+                && reusable
+                && exchange == null
+                && pool.nanoTime() - idleSinceNanos < idleMillis * NANOS_PER_MILLI;
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Whether the connection has carried a whole answer before. */
+    boolean hasAnswered() {
+        return sawAnswer;
+    }
+
+    /**
+     * Sends a call.
+     *
+     * @param remainingMillis deadline that the target is told; the answer is awaited a little longer
+     */
+    void send(ForwardCall call, long remainingMillis, TargetPool.Listener listener) {
+        Exchange own = new Exchange(call, listener);
+        exchange = own;
+        belongs = false;
+        decoder.expectBodiless("HEAD".equals(call.method()));
+        own.timeout = channel.eventLoop()
+                .schedule(
+                        () -> fail(own, CallResult.timedOut()),
+                        remainingMillis + TargetPool.ANSWER_SLACK_MILLIS,
+                        TimeUnit.MILLISECONDS);
+        channel.writeAndFlush(request(call, remainingMillis)).addListener(written -> {
+            if (!written.isSuccess()) {
+                fail(own, CallResult.lost("write-failed"));
+            }
+        });
+    }
+
+    /** Gives the call up; the target drops it when its connection closes. */
+    void cancel(ForwardCall call) {
+        if (exchange != null && exchange.call == call) {
+            Exchange own = exchange;
+            own.timeout.cancel(false);
+            exchange = null;
+            channel.close();
+        }
+    }
+
+    private HttpRequest request(ForwardCall call, long remainingMillis) {
+        ByteBuf body = Unpooled.wrappedBuffer(call.body());
+        DefaultFullHttpRequest request =
+                new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.uri(), body);
+        HopHeaders.addTo(request.headers(), call.headers());
+        HeaderNames names = pool.names();
+        request.headers().set(names.deadlineMillis(), remainingMillis);
+        request.headers().set(names.expectedInstance(), call.instanceId());
+        if (call.body().length > 0 || !"GET".equals(call.method()) && !"HEAD".equals(call.method())) {
+            HttpUtil.setContentLength(request, call.body().length);
+        }
+        return request;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            reusable = false;
+            lose("malformed-answer");
+            context.close();
+            return;
+        }
+        if (exchange == null || exchange.result != null) {
+            // Bytes after a whole answer, or an answer to nothing: the connection cannot be trusted any more.
+            reusable = false;
+            context.close();
+            return;
+        }
+        if (message instanceof HttpResponse head) {
+            begin(head);
+        }
+        if (message instanceof HttpContent content && belongs) {
+            add(content.content());
+            if (message instanceof LastHttpContent && exchange != null) {
+                complete();
+            }
+        }
+    }
+
+    private void begin(HttpResponse head) {
+        String id = head.headers().get(pool.names().requestId());
+        belongs = exchange.call.requestId().equals(id) && head.status().code() != STATUS_CONTINUE;
+        if (belongs) {
+            exchange.head = head;
+        } else if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+            reusable = false;
+        }
+    }
+
+    private void add(ByteBuf content) {
+        if (exchange.body.size() + content.readableBytes() > MAX_ANSWER_BYTES) {
+            lose("answer-too-long");
+            channel.close();
+            return;
+        }
+        byte[] bytes = new byte[content.readableBytes()];
+        content.getBytes(content.readerIndex(), bytes);
+        exchange.body.writeBytes(bytes);
+    }
+
+    /** The result is told when the bytes at hand are read, because surplus bytes would show that it is wrong to go on. */
+    private void complete() {
+        HttpResponse head = exchange.head;
+        if (reset) {
+            lose("connection-reset");
+            return;
+        }
+        if (!HttpUtil.isKeepAlive(head)
+                || !HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+            reusable = false;
+        }
+        readIdleTimeout(head.headers());
+        sawAnswer = true;
+        exchange.result = classify(head);
+    }
+
+    private CallResult classify(HttpResponse head) {
+        HttpHeaders headers = head.headers();
+        int status = head.status().code();
+        HeaderNames names = pool.names();
+        if (status == STATUS_MISDIRECTED) {
+            return CallResult.shed("another-instance");
+        }
+        if (headers.contains(names.notExecuted())) {
+            return CallResult.shed("target-shed");
+        }
+        if (status / STATUS_CLASS == STATUS_SUCCESS && !headers.contains(names.answerStamp())
+                || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
+            return CallResult.lost("unsigned-answer");
+        }
+        return CallResult.answered(status, HopHeaders.copy(headers, Set.of()), exchange.body.toByteArray());
+    }
+
+    private void readIdleTimeout(HttpHeaders headers) {
+        String value = headers.get("Keep-Alive");
+        if (value == null) {
+            return;
+        }
+        for (String part : value.split(",")) {
+            String trimmed = part.trim();
+            if (trimmed.startsWith("timeout=")) {
+                try {
+                    long millis = TimeUnit.SECONDS.toMillis(Long.parseLong(trimmed.substring("timeout=".length())));
+                    idleMillis = Math.max(millis - IDLE_MARGIN_MILLIS, millis / 4);
+                } catch (NumberFormatException e) {
+                    pool.log().debug("unreadable keep-alive timeout", "value", trimmed);
+                }
+            }
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        deliver();
+        context.fireChannelReadComplete();
+    }
+
+    private void deliver() {
+        if (exchange == null || exchange.result == null) {
+            return;
+        }
+        Exchange own = exchange;
+        exchange = null;
+        own.timeout.cancel(false);
+        idleSinceNanos = pool.nanoTime();
+        if (reusable) {
+            pool.release(this);
+        } else {
+            channel.close();
+        }
+        own.listener.ended(own.result);
+    }
+
+    private void lose(String reason) {
+        if (exchange != null && exchange.result == null) {
+            fail(exchange, CallResult.lost(reason));
+        }
+    }
+
+    private void fail(Exchange failed, CallResult result) {
+        if (exchange != failed || failed.result != null) {
+            return;
+        }
+        exchange = null;
+        failed.timeout.cancel(false);
+        channel.close();
+        failed.listener.ended(result);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        reset = cause instanceof IOException;
+        reusable = false;
+        lose(reset ? "connection-reset" : "connection-failed");
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        deliver();
+        lose("connection-closed");
+        pool.closed(this);
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -0,0 +1,164 @@
+package io.jaywick.node.relay;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import io.jaywick.core.message.ForwardCall;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+
+/** Connections to the target beside the node. The one used last is used first, so that few stay open. */
+final class TargetPool implements AutoCloseable {
+
+    /** The target's own answer at the deadline still arrives in this time. */
+    static final long ANSWER_SLACK_MILLIS = 80;
+
+    /** The target stands on the same host; a connection that takes longer is not coming. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Bootstrap bootstrap;
+    private final HeaderNames names;
+    private final LongSupplier nanoTime;
+    private final RelayLog log;
+    private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
+    private final Set<TargetConnection> open = new HashSet<>();
+
+    TargetPool(
+            EventLoopGroup loop,
+            InetSocketAddress address,
+            HeaderNames names,
+            LongSupplier nanoTime,
+            RelayLog log) {
+        this.names = names;
+        this.nanoTime = nanoTime;
+        this.log = log;
+        this.bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .remoteAddress(address)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        AnswerDecoder decoder = new AnswerDecoder();
+                        channel.pipeline()
+                                .addLast(
+                                        decoder,
+                                        new HttpRequestEncoder(),
+                                        new TargetConnection(TargetPool.this, decoder));
+                    }
+                });
+    }
+
+    /** Is told how an exchange ended. */
+    interface Listener {
+
+        void ended(CallResult result);
+    }
+
+    /** Sends a call over an idle or a new connection. A call whose connection fails was not sent. */
+    PendingCall send(ForwardCall call, LongSupplier remainingMillis, Listener listener) {
+        TargetConnection known = takeIdle();
+        if (known != null) {
+            known.send(call, remainingMillis.getAsLong(), listener);
+            return () -> known.cancel(call);
+        }
+        Opening opening = new Opening(call, remainingMillis, listener);
+        ChannelFuture connect = bootstrap.connect();
+        connect.addListener(opened -> opening.opened(connect));
+        return opening;
+    }
+
+    private TargetConnection takeIdle() {
+        for (TargetConnection next = idle.pollFirst(); next != null; next = idle.pollFirst()) {
+            if (next.isUsable()) {
+                return next;
+            }
+            next.close();
+        }
+        return null;
+    }
+
+    private final class Opening implements PendingCall {
+        private final ForwardCall call;
+        private final LongSupplier remainingMillis;
+        private final Listener listener;
+        private TargetConnection connection;
+        private boolean cancelled;
+
+        Opening(ForwardCall call, LongSupplier remainingMillis, Listener listener) {
+            this.call = call;
+            this.remainingMillis = remainingMillis;
+            this.listener = listener;
+        }
+
+        void opened(ChannelFuture connect) {
+            if (!connect.isSuccess()) {
+                if (!cancelled) {
+                    listener.ended(CallResult.refused("target-down"));
+                }
+                return;
+            }
+            connection = connect.channel().pipeline().get(TargetConnection.class);
+            open.add(connection);
+            if (cancelled) {
+                release(connection);
+            } else if (remainingMillis.getAsLong() <= 0) {
+                release(connection);
+                listener.ended(CallResult.refused("deadline"));
+            } else {
+                connection.send(call, remainingMillis.getAsLong(), listener);
+            }
+        }
+
+        @Override
+        public void cancel() {
+            cancelled = true;
+            if (connection != null) {
+                connection.cancel(call);
+            }
+        }
+    }
+
+    void release(TargetConnection connection) {
+        idle.addFirst(connection);
+    }
+
+    void closed(TargetConnection connection) {
+        idle.remove(connection);
+        open.remove(connection);
+    }
+
+    int openConnections() {
+        return open.size();
+    }
+
+    HeaderNames names() {
+        return names;
+    }
+
+    RelayLog log() {
+        return log;
+    }
+
+    long nanoTime() {
+        return nanoTime.getAsLong();
+    }
+
+    @Override
+    public void close() {
+        for (TargetConnection connection : Set.copyOf(open)) {
+            connection.close();
+        }
+    }
+}
