--- a/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
@@ -57,10 +57,7 @@
             if (isUsable(view, instance, homeRegions)) {
                 InstanceLoad load = load(instance.id());
                 scored.add(new Scored(
-                        instance,
-                        distance(instance),
-                        load.isAvoided(now),
-                        load.score(now) + random.nextDouble()));
+                        instance, distance(instance), load.isAvoided(now), load.score(now) + random.nextDouble()));
             }
         }
         scored.sort((a, b) -> {
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/Router.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/Router.java
@@ -70,8 +70,9 @@
             return CallPlan.refused(snapshot, null, party, RefusalReason.NO_ROUTE);
         }
         String key = route.idempotent() ? null : idempotencyKey;
-        Service service =
-                key == null ? weightsOf(route).choose(route.services()).service() : KeyHome.service(route, party.name(), key);
+        Service service = key == null
+                ? weightsOf(route).choose(route.services()).service()
+                : KeyHome.service(route, party.name(), key);
         Set<String> homeRegions =
                 HomeRegions.intersection(route.homeRegions(), service.homeRegions(), party.homeRegions());
         RefusalReason refusal = HomeRegions.allows(homeRegions, region) ? null : RefusalReason.OUTSIDE_HOME_REGIONS;
@@ -208,7 +209,9 @@
         SmoothWeights<WeightedService> found = weights.get(route.name());
         return found != null
                 ? found
-                : weights.computeIfAbsent(route.name(), name -> new SmoothWeights<>(
+                : weights.computeIfAbsent(
+                        route.name(),
+                        name -> new SmoothWeights<>(
                                 route.services(),
                                 part -> part.service().name(),
                                 WeightedService::weightPercent,
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/SmoothWeights.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/SmoothWeights.java
@@ -5,7 +5,6 @@
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
 
-
 /**
  * Smooth weighted round robin over the parts of one route. Every choice credits each service with its weight and
  * debits the chosen one with the sum, so that the number of choices of a part differs from its share by less than
@@ -23,8 +22,7 @@
     private double sum;
 
     /** The random start keeps many nodes with few calls each from all beginning with the heaviest part. */
-    public SmoothWeights(
-            List<T> parts, Function<T, String> name, ToDoubleFunction<T> weight, RandomGenerator random) {
+    public SmoothWeights(List<T> parts, Function<T, String> name, ToDoubleFunction<T> weight, RandomGenerator random) {
         this.name = name;
         this.weight = weight;
         adopt(parts);
--- a/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
@@ -10,8 +10,7 @@
 public final class RuleSet {
 
     /** Holds no route; no version that an operator wrote is as low. */
-    public static final RuleSet EMPTY =
-            new RuleSet(-1, List.of(), List.of(), CallerLimits.DEFAULTS);
+    public static final RuleSet EMPTY = new RuleSet(-1, List.of(), List.of(), CallerLimits.DEFAULTS);
 
     private final long version;
     private final Map<String, Map<String, RouteRule>> routesByHost = new HashMap<>();
@@ -20,10 +19,7 @@
     private final int routes;
 
     public RuleSet(
-            long version,
-            Collection<RouteRule> routes,
-            Collection<ServiceRule> services,
-            CallerLimits callerLimits) {
+            long version, Collection<RouteRule> routes, Collection<ServiceRule> services, CallerLimits callerLimits) {
         this.version = version;
         this.callerLimits = callerLimits;
         this.routes = routes.size();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -12,7 +12,8 @@
  * @param headers names and values in turn, of an answer only
  * @param waitMillis expected wait of the next call at the instance; -1 when unknown
  */
-public record CallResult(Outcome outcome, String reason, int status, List<String> headers, byte[] body, long waitMillis) {
+public record CallResult(
+        Outcome outcome, String reason, int status, List<String> headers, byte[] body, long waitMillis) {
 
     private static final byte[] EMPTY = new byte[0];
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -149,11 +149,7 @@
 
     private void complete() {
         ClientRequest request = new ClientRequest(
-                head.method().name(),
-                head.uri(),
-                head.headers(),
-                body.toByteArray(),
-                listener.nanoTime());
+                head.method().name(), head.uri(), head.headers(), body.toByteArray(), listener.nanoTime());
         boolean keepAlive = HttpUtil.isKeepAlive(head);
         head = null;
         body = null;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -31,11 +31,7 @@
     private boolean leaving;
 
     LocalTarget(
-            RelaySettings settings,
-            Supplier<FleetView> fleet,
-            TargetPool pool,
-            LongSupplier nanoTime,
-            RelayLog log) {
+            RelaySettings settings, Supplier<FleetView> fleet, TargetPool pool, LongSupplier nanoTime, RelayLog log) {
         this.settings = settings;
         this.fleet = fleet;
         this.gate = new TargetGate(nanoTime);
@@ -70,8 +66,7 @@
     void viewChanged() {
         Instance known = null;
         for (Instance instance : fleet.get().instancesOf(settings.service())) {
-            if (instance.address().equals(settings.targetAddress())
-                    && (known == null || isNewer(instance, known))) {
+            if (instance.address().equals(settings.targetAddress()) && (known == null || isNewer(instance, known))) {
                 known = instance;
             }
         }
@@ -83,7 +78,8 @@
             }
             return;
         }
-        boolean another = current == null || !current.id().equals(known.id()) || current.bornMillis() != known.bornMillis();
+        boolean another =
+                current == null || !current.id().equals(known.id()) || current.bornMillis() != known.bornMillis();
         current = known;
         gate.setSlots(known.slots());
         long coldMillis = known.coldMillis(nanoTime.getAsLong());
@@ -96,10 +92,14 @@
         if (another) {
             log.change(
                     "target beside this node",
-                    "instance", known.id(),
-                    "slots", known.slots(),
-                    "coldMillis", coldMillis,
-                    "draining", known.draining());
+                    "instance",
+                    known.id(),
+                    "slots",
+                    known.slots(),
+                    "coldMillis",
+                    coldMillis,
+                    "draining",
+                    known.draining());
         }
     }
 
@@ -116,11 +116,7 @@
             return;
         }
         gate.setCold(nanoTime.getAsLong() + millis * NANOS_PER_MILLI, rule.coldCallsPerSecond());
-        log.change(
-                "target is cold",
-                "cause", cause,
-                "forMillis", millis,
-                "callsPerSecond", rule.coldCallsPerSecond());
+        log.change("target is cold", "cause", cause, "forMillis", millis, "callsPerSecond", rule.coldCallsPerSecond());
     }
 
     @Override
@@ -139,7 +135,9 @@
     private GateRefusal refusal(ForwardCall call) {
         FleetView view = fleet.get();
         Instance chosen = view.instance(call.instanceId());
-        if (chosen == null || current == null || !chosen.id().equals(current.id())
+        if (chosen == null
+                || current == null
+                || !chosen.id().equals(current.id())
                 || !chosen.service().equals(call.service())) {
             return GateRefusal.UNKNOWN_INSTANCE;
         }
@@ -156,8 +154,9 @@
     }
 
     private void observe(CallResult result) {
-        boolean lost = result.outcome() == CallResult.Outcome.LOST && result.reason().startsWith("connection-")
-                || result.reason().equals("target-down");
+        boolean lost =
+                result.outcome() == CallResult.Outcome.LOST && result.reason().startsWith("connection-")
+                        || result.reason().equals("target-down");
         if (lost && !down) {
             down = true;
             log.change("target lost a connection", "reason", result.reason());
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -51,6 +51,7 @@
     private String service;
     private long deadlineNanos;
     private List<String> headers = List.of();
+    private final StringBuilder history = new StringBuilder();
     private int trials;
     private int lastResorts;
     private int arrivals;
@@ -60,6 +61,7 @@
     private PendingCall pending;
     private ScheduledFuture<?> timeout;
     private boolean ended;
+    private String endReason = "";
 
     OutboundCall(OutboundCalls calls, ClientRequest request, Consumer<ClientAnswer> done) {
         this.calls = calls;
@@ -227,6 +229,7 @@
             return;
         }
         calls.meters().attempt(result.outcome(), result.reason());
+        note(instance, result);
         switch (result.outcome()) {
             case ANSWERED -> answered(instance, result);
             case REFUSED -> refused(instance, result);
@@ -247,6 +250,24 @@
         }
     }
 
+    /** Keeps the way of the call for the line that explains its failure. */
+    private void note(Instance instance, CallResult result) {
+        if (history.length() > 0) {
+            history.append(' ');
+        }
+        history.append(instance.id()).append('=');
+        if (result.outcome() == CallResult.Outcome.ANSWERED) {
+            history.append(result.status());
+        } else {
+            history.append(result.outcome().name().toLowerCase(Locale.ROOT))
+                    .append(':')
+                    .append(result.reason());
+        }
+        if (result.waitMillis() > 0) {
+            history.append(":wait").append(result.waitMillis());
+        }
+    }
+
     private void arrived(Instance instance) {
         arrivals++;
         sentTo.add(instance.id());
@@ -303,6 +324,7 @@
     }
 
     private ClientAnswer failure(String reason) {
+        endReason = reason;
         if (failure != null) {
             return new ClientAnswer(failure.status(), failure.headers(), failure.body(), 0);
         }
@@ -310,6 +332,7 @@
     }
 
     private ClientAnswer refusal(String reason) {
+        endReason = reason;
         long waitMillis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, leastWaitMillis));
         // Callers that were refused together must not come back together.
         long spreadMillis = calls.random().nextLong(waitMillis / 2 + 1);
@@ -324,9 +347,7 @@
         if (sent) {
             pending.cancel();
         }
-        end(sent || mayHaveRun
-                ? ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0)
-                : refusal("deadline"));
+        end(sent || mayHaveRun ? ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0) : refusal("deadline"));
     }
 
     @Override
@@ -349,18 +370,27 @@
         long millis = (calls.nanoTime().getAsLong() - request.receivedNanos()) / NANOS_PER_MILLI;
         calls.meters().answered(route == null ? "" : route.name(), answer.status(), millis);
         if (answer.status() >= STATUS_SERVER_FAILURE) {
-            calls.log().call(
-                    "call failed",
-                    "requestId", requestId,
-                    "route", route == null ? "" : route.name(),
-                    "service", service,
-                    "rulesVersion", calls.fleet().rules().version(),
-                    "status", answer.status(),
-                    "reason", new String(answer.body(), java.nio.charset.StandardCharsets.UTF_8).trim(),
-                    "trials", trials,
-                    "arrivals", arrivals,
-                    "elapsedMillis", millis,
-                    "remainingMillis", route == null ? 0 : remainingMillis());
+            calls.log()
+                    .call(
+                            "call failed",
+                            "requestId",
+                            requestId,
+                            "route",
+                            route == null ? "" : route.name(),
+                            "service",
+                            service,
+                            "rulesVersion",
+                            calls.fleet().rules().version(),
+                            "status",
+                            answer.status(),
+                            "reason",
+                            endReason,
+                            "instances",
+                            history,
+                            "elapsedMillis",
+                            millis,
+                            "remainingMillis",
+                            route == null ? 0 : remainingMillis());
         }
         done.accept(answer);
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 
 import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.PeerEntry;
 import io.jaywick.core.placement.Placement;
 import io.jaywick.core.rules.RuleSet;
@@ -75,8 +76,7 @@
     private final DisposableServer metrics;
     private final LongSupplier nanoTime;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private volatile FleetView view = new FleetView(
-            RuleSet.EMPTY, List.of(), Set.of());
+    private volatile FleetView view = new FleetView(RuleSet.EMPTY, List.of(), Set.of());
     private volatile boolean isReady;
     private volatile boolean leaving;
     private long leaveStartNanos;
@@ -104,6 +104,10 @@
         this.local = new LocalTarget(settings, () -> view, pool, nanoTime, log);
         this.peers = new PeerCalls(link, local, log);
         peers.register(handlers);
+        handlers.register(
+                Hello.class,
+                message ->
+                        CompletableFuture.completedFuture(new Hello(codec.minVersion(), codec.maxVersion(), self())));
         this.calls = new OutboundCalls(
                 settings,
                 names,
@@ -123,24 +127,22 @@
                 log,
                 new RelayMeters(registry));
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
-        this.clients = new ClientListener(
-                group, address(settings.outboundAddress()), calls, () -> view, names, nanoTime, log);
+        this.clients =
+                new ClientListener(group, address(settings.outboundAddress()), calls, () -> view, names, nanoTime, log);
         this.ready = HttpServer.create()
                 .runOn(loops, false)
                 .bindAddress(() -> address(settings.readyAddress()))
-                .route(routes -> routes.get(
-                                settings.readyPath(),
-                                (request, response) -> response.status(isReady && !leaving ? OK : UNAVAILABLE)
-                                        .send())
-)
+                .route(routes -> routes.get(settings.readyPath(), (request, response) -> response.status(
+                                isReady && !leaving ? OK : UNAVAILABLE)
+                        .send()))
                 .bindNow();
         this.metrics = settings.metricsAddress() == null
                 ? null
                 : HttpServer.create()
                         .runOn(loops, false)
                         .bindAddress(() -> address(settings.metricsAddress()))
-                        .route(routes ->
-                                routes.get("/metrics", (request, response) -> response.header("Content-Type", "text/plain")
+                        .route(routes -> routes.get(
+                                "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
                                         .sendString(Mono.fromSupplier(registry::scrape))))
                         .bindNow();
         loop.scheduleAtFixedRate(local::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -181,9 +183,12 @@
                 isReady = true;
                 log.change(
                         "node is ready",
-                        "rulesVersion", newer.rules().version(),
-                        "routes", newer.rules().routeCount(),
-                        "instances", newer.instances().size());
+                        "rulesVersion",
+                        newer.rules().version(),
+                        "routes",
+                        newer.rules().routeCount(),
+                        "instances",
+                        newer.instances().size());
             }
         });
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -26,10 +26,14 @@
 
     /** Counts the end of one call at one instance. */
     void attempt(CallResult.Outcome outcome, String reason) {
-        attempts.computeIfAbsent(outcome + " " + reason, key -> registry.counter(
-                        "jaywick.attempts",
-                        "outcome", outcome.name().toLowerCase(Locale.ROOT),
-                        "reason", reason))
+        attempts.computeIfAbsent(
+                        outcome + " " + reason,
+                        key -> registry.counter(
+                                "jaywick.attempts",
+                                "outcome",
+                                outcome.name().toLowerCase(Locale.ROOT),
+                                "reason",
+                                reason))
                 .increment();
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/StrictRequestDecoder.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/StrictRequestDecoder.java
@@ -10,9 +10,7 @@
     private static final int MAX_LINE_BYTES = 8_192;
 
     StrictRequestDecoder(int maxHeaderBytes) {
-        super(new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_LINE_BYTES)
-                .setMaxHeaderSize(maxHeaderBytes));
+        super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE_BYTES).setMaxHeaderSize(maxHeaderBytes));
     }
 
     @Override
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -32,12 +32,7 @@
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> open = new HashSet<>();
 
-    TargetPool(
-            EventLoopGroup loop,
-            InetSocketAddress address,
-            HeaderNames names,
-            LongSupplier nanoTime,
-            RelayLog log) {
+    TargetPool(EventLoopGroup loop, InetSocketAddress address, HeaderNames names, LongSupplier nanoTime, RelayLog log) {
         this.names = names;
         this.nanoTime = nanoTime;
         this.log = log;
