--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -101,6 +101,11 @@
         return !over.isEmpty();
     }
 
+    /** Whether vanished entries are held. */
+    public boolean hasLapsed() {
+        return !lapsedUntilNanos.isEmpty();
+    }
+
     public void evacuate(String dataCentre) {
         evacuated.add(dataCentre);
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
@@ -2,23 +2,41 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.LongSupplier;
+import java.util.random.RandomGenerator;
 
 /**
- * This node's part of a retry budget that all nodes share without talking to each other. For each service the fleet
- * may send, in every window, a ratio of the first calls and a fixed allowance again. A node earns half of the ratio
- * with each of its own first calls, because the calls that a repeated run makes count as repeats too, and saves up at
- * most its equal share of the allowance. Not thread-safe.
+ * This node's part of a retry budget that all nodes share without talking to each other. For each service the fleet may
+ * send again, in any window, a ratio of the first calls and a fixed allowance. A node takes half of the ratio of its own
+ * first calls, because the calls that a repeated run makes count as repeats too, and an equal share of the allowance.
+ * Parts of a call are rounded up or down at random, so that many nodes with few calls neither exceed the budget nor
+ * leave it unused. Not thread-safe.
  */
 public final class FleetRetryBudget {
 
     private static final double RATIO_USED = 0.5;
 
-    /** The rest of the allowance covers nodes that restart and begin with tokens again. */
+    /** The rest of the allowance covers nodes that restart and forget what they have sent. */
     private static final double ALLOWANCE_USED = 0.7;
 
     private final double ratio;
     private final double allowance;
-    private final Map<String, Double> tokensByService = new HashMap<>();
+    private final long windowMillis;
+    private final LongSupplier nanoTime;
+    private final RandomGenerator random;
+    private final Map<String, Usage> usageByService = new HashMap<>();
+
+    private static final class Usage {
+        private final WindowCount firstCalls;
+        private final WindowCount repeats;
+        private final double rounding;
+
+        Usage(long windowMillis, double rounding) {
+            this.firstCalls = new WindowCount(windowMillis);
+            this.repeats = new WindowCount(windowMillis);
+            this.rounding = rounding;
+        }
+    }
 
     /**
      * Makes a budget.
@@ -26,28 +44,35 @@
      * @param ratio repeats for each first call, over the whole fleet
      * @param allowance further repeats in each window, over the whole fleet
      */
-    public FleetRetryBudget(double ratio, double allowance) {
+    public FleetRetryBudget(
+            double ratio, double allowance, long windowMillis, LongSupplier nanoTime, RandomGenerator random) {
         this.ratio = ratio;
         this.allowance = allowance;
+        this.windowMillis = windowMillis;
+        this.nanoTime = nanoTime;
+        this.random = random;
     }
 
     /** Counts a first call to a service. */
-    public void earn(String service, int nodes) {
-        double cap = cap(nodes);
-        tokensByService.merge(service, cap / 2, (tokens, start) -> Math.min(cap, tokens + ratio * RATIO_USED));
+    public void countFirst(String service) {
+        usage(service).firstCalls.add(nanoTime.getAsLong());
     }
 
     /** Pays for sending one call again; returns false when the budget is used up. */
     public boolean tryTake(String service, int nodes) {
-        double tokens = tokensByService.getOrDefault(service, cap(nodes) / 2);
-        if (tokens < 1) {
+        Usage usage = usage(service);
+        long now = nanoTime.getAsLong();
+        double allowed = ratio * RATIO_USED * usage.firstCalls.sum(now)
+                + allowance * ALLOWANCE_USED / Math.max(1, nodes)
+                + usage.rounding;
+        if (usage.repeats.sum(now) + 1 > allowed) {
             return false;
         }
-        tokensByService.put(service, tokens - 1);
+        usage.repeats.add(now);
         return true;
     }
 
-    private double cap(int nodes) {
-        return Math.max(1, allowance * ALLOWANCE_USED / Math.max(1, nodes));
+    private Usage usage(String service) {
+        return usageByService.computeIfAbsent(service, name -> new Usage(windowMillis, random.nextDouble()));
     }
 }
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/WindowCount.java
@@ -0,0 +1,48 @@
+package io.jaywick.core.retry;
+
+/**
+ * Events of a sliding window, counted in slices. The slice that is partly outside still counts, so that the sum is never
+ * too low. Not thread-safe.
+ */
+final class WindowCount {
+
+    private static final int SLICES = 20;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final long sliceNanos;
+    private final long[] counts = new long[SLICES + 1];
+    private long newestSlice;
+
+    WindowCount(long windowMillis) {
+        this.sliceNanos = Math.max(1, windowMillis * NANOS_PER_MILLI / SLICES);
+    }
+
+    void add(long nowNanos) {
+        advance(nowNanos);
+        counts[index(newestSlice)]++;
+    }
+
+    long sum(long nowNanos) {
+        advance(nowNanos);
+        long sum = 0;
+        for (long count : counts) {
+            sum += count;
+        }
+        return sum;
+    }
+
+    private void advance(long nowNanos) {
+        long slice = Math.floorDiv(nowNanos, sliceNanos);
+        if (slice - newestSlice > SLICES) {
+            newestSlice = slice - SLICES - 1;
+        }
+        while (newestSlice < slice) {
+            newestSlice++;
+            counts[index(newestSlice)] = 0;
+        }
+    }
+
+    private int index(long slice) {
+        return (int) Math.floorMod(slice, (long) counts.length);
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -0,0 +1,179 @@
+package io.jaywick.core.gate;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
+
+class TargetGateTestCase {
+
+    private final AtomicLong nanos = new AtomicLong();
+    private final TargetGate gate = new TargetGate(nanos::get);
+    private final List<String> started = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+
+    private final class Call extends GateCall {
+        private final String name;
+
+        Call(String name, int priority, long objectiveMillis, long deadlineMillis, boolean trial) {
+            super(
+                    "route",
+                    priority,
+                    nanos.get() + TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
+                    nanos.get() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
+                    trial);
+            this.name = name;
+        }
+
+        @Override
+        protected void admitted() {
+            started.add(name);
+        }
+
+        @Override
+        protected void refused(GateRefusal reason) {
+            refused.add(name + " " + reason.label());
+        }
+    }
+
+    private Call call(String name) {
+        return new Call(name, 1, 1_000, 5_000, false);
+    }
+
+    private void pass(long millis) {
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
+    /** Guards against more calls at the target than it has slots, which it would shed or never answer. */
+    @Test
+    void callsBeyondTheSlotsWait() {
+        gate.setSlots(2);
+        Call first = call("1");
+        assertThat(gate.offer(first), nullValue());
+        assertThat(gate.offer(call("2")), nullValue());
+        assertThat(gate.offer(call("3")), nullValue());
+        assertThat(started, contains("1", "2"));
+        gate.ended(first, true);
+        assertThat(started, contains("1", "2", "3"));
+    }
+
+    /** Guards against an urgent call that waits behind less urgent ones. */
+    @Test
+    void higherPriorityGoesFirst() {
+        gate.setSlots(1);
+        Call running = call("running");
+        gate.offer(running);
+        gate.offer(new Call("low", 2, 1_000, 5_000, false));
+        gate.offer(new Call("high", 0, 1_000, 5_000, false));
+        gate.ended(running, true);
+        assertThat(started, contains("running", "high"));
+    }
+
+    /** Guards against calls that are late already and delay those that could still be in time. */
+    @Test
+    void callsThatCanMeetTheirObjectiveGoBeforeLateOnes() {
+        gate.setSlots(1);
+        Call running = call("running");
+        gate.offer(running);
+        gate.offer(new Call("late", 1, 1, 5_000, false));
+        gate.offer(new Call("in time", 1, 400, 5_000, false));
+        pass(50);
+        gate.ended(running, true);
+        assertThat(started, contains("running", "in time"));
+    }
+
+    /** Pattern burst: a caller learns at once that the objective would be missed here, and goes elsewhere. */
+    @Test
+    void trialIsRefusedWhenItWouldMissItsObjective() {
+        gate.setSlots(1);
+        gate.offer(call("running"));
+        gate.offer(call("waiting"));
+        assertThat(gate.offer(new Call("trial", 1, 60, 5_000, true)), is(GateRefusal.BUSY));
+        assertThat(gate.offer(new Call("last resort", 1, 60, 5_000, false)), nullValue());
+    }
+
+    /** Guards against a slow target that is avoided for ever because nobody sees that it has recovered. */
+    @Test
+    void idleTargetTakesATrialThoughItWasSlow() {
+        Call slow = call("slow");
+        gate.offer(slow);
+        pass(60_000);
+        gate.ended(slow, true);
+        assertThat(gate.offer(new Call("trial", 1, 60, 5_000, true)), nullValue());
+    }
+
+    /** Guards against a call that waits for its whole deadline although it cannot be served. */
+    @Test
+    void hopelessCallIsRefusedAtOnce() {
+        gate.setSlots(1);
+        gate.offer(call("running"));
+        for (int i = 0; i < 20; i++) {
+            gate.offer(call("waiting " + i));
+        }
+        assertThat(gate.offer(new Call("hopeless", 1, 100, 300, false)), is(GateRefusal.OVERLOADED));
+    }
+
+    /** Guards against work on calls whose deadline passed while they waited. */
+    @Test
+    void expiredCallsLeaveTheQueue() {
+        gate.setSlots(1);
+        gate.offer(call("running"));
+        gate.offer(new Call("short", 1, 100, 200, false));
+        pass(200);
+        gate.pump();
+        assertThat(refused, contains("short deadline"));
+    }
+
+    /** Pattern cold_return: whatever arrives, a cold target gets no more than it bears in any second. */
+    @Test
+    void coldTargetGetsItsBudgetInEachSecond() {
+        gate.setSlots(100);
+        gate.setCold(TimeUnit.SECONDS.toNanos(60), 14);
+        Random random = new Random(3);
+        List<Long> starts = new ArrayList<>();
+        while (nanos.get() < TimeUnit.SECONDS.toNanos(20)) {
+            pass(random.nextInt(20));
+            Call call = call("c");
+            int before = started.size();
+            gate.offer(call);
+            gate.pump();
+            for (int i = before; i < started.size(); i++) {
+                starts.add(nanos.get());
+            }
+            gate.ended(call, true);
+        }
+        assertThat(starts.size(), greaterThan(200));
+        for (int i = 0; i < starts.size(); i++) {
+            int inWindow = 0;
+            for (int j = i; j < starts.size() && starts.get(j) - starts.get(i) < TimeUnit.SECONDS.toNanos(1); j++) {
+                inWindow++;
+            }
+            assertThat(inWindow, lessThanOrEqualTo(14));
+        }
+    }
+
+    /** Guards against slots that a caller which left takes with it. */
+    @Test
+    void cancelledCallsFreeTheirPlace() {
+        gate.setSlots(1);
+        Call running = call("running");
+        gate.offer(running);
+        Call waiting = call("waiting");
+        gate.offer(waiting);
+        gate.cancel(waiting);
+        gate.ended(running, false);
+        assertThat(gate.running(), is(0));
+        assertThat(gate.waiting(), is(0));
+        assertThat(started, contains("running"));
+    }
+}
--- /dev/null
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
@@ -0,0 +1,88 @@
+package io.jaywick.core.retry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+class FleetRetryBudgetTestCase {
+
+    private static final double RATIO = 0.2;
+    private static final double ALLOWANCE = 58;
+    private static final long WINDOW_MILLIS = 10_000;
+
+    private final AtomicLong nanos = new AtomicLong();
+    private final Random random = new Random(11);
+
+    private FleetRetryBudget budget(double allowance) {
+        return new FleetRetryBudget(RATIO, allowance, WINDOW_MILLIS, nanos::get, random);
+    }
+
+    /** Pattern srv_grey on all targets: in every window the fleet's repeats stay inside the shared budget. */
+    @Test
+    void nodesTogetherStayInsideTheBudgetWithoutTalking() {
+        for (int nodes : new int[] {1, 6, 18, 83, 300, 1_000}) {
+            FleetRetryBudget[] budgets = new FleetRetryBudget[nodes];
+            for (int i = 0; i < nodes; i++) {
+                budgets[i] = budget(ALLOWANCE);
+            }
+            List<Long> calls = new ArrayList<>();
+            List<Long> repeats = new ArrayList<>();
+            for (int i = 0; i < 6_000; i++) {
+                nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(random.nextInt(10)));
+                FleetRetryBudget budget = budgets[random.nextInt(nodes)];
+                calls.add(nanos.get());
+                budget.countFirst("s");
+                if (budget.tryTake("s", nodes)) {
+                    repeats.add(nanos.get());
+                }
+            }
+            assertThat(repeats.size(), greaterThan(calls.size() / 25));
+            long window = TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS);
+            for (long end = calls.get(0); end <= nanos.get(); end += window / 10) {
+                double allowed = RATIO * inWindow(calls, end, window) + ALLOWANCE;
+                assertThat((double) inWindow(repeats, end, window), lessThanOrEqualTo(allowed));
+            }
+        }
+    }
+
+    private static int inWindow(List<Long> times, long end, long window) {
+        int count = 0;
+        for (long time : times) {
+            if (time <= end && time > end - window) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Guards against repeats of one service that are paid by the calls of another. */
+    @Test
+    void servicesHaveBudgetsOfTheirOwn() {
+        FleetRetryBudget budget = budget(4);
+        while (budget.tryTake("a", 1)) {
+            // Uses up what the first service has.
+        }
+        assertThat(budget.tryTake("b", 1), is(true));
+        assertThat(budget.tryTake("a", 1), is(false));
+    }
+
+    /** Guards against a budget that stays used up after its window. */
+    @Test
+    void budgetReturnsWithTime() {
+        FleetRetryBudget budget = budget(4);
+        while (budget.tryTake("a", 1)) {
+            // Uses up the window.
+        }
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(2 * WINDOW_MILLIS));
+        assertThat(budget.tryTake("a", 1), is(true));
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -47,6 +47,7 @@
     private boolean closed;
     private long lastId = HELLO_ID;
     private int silentPings;
+    private boolean pinging;
 
     PeerConnection(
             String address,
@@ -127,30 +128,29 @@
         // Both neighbouring versions accept a greeting in the newest version of this side.
         channel.send(codec.maxVersion(), HELLO_ID, hello);
         expire(HELLO_ID);
-        if (limits.pingMillis() > 0) {
-            schedulePing();
-        }
     }
 
+    /** Runs only while requests are in flight; an idle connection costs no timers. */
     private void schedulePing() {
+        pinging = true;
         channel.channel().eventLoop().schedule(this::ping, limits.pingMillis(), TimeUnit.MILLISECONDS);
     }
 
     /** Runs on the thread of the connection, like {@link #received}. */
     private void ping() {
-        boolean asks;
         synchronized (this) {
-            if (closed) {
+            if (closed || waiting.isEmpty()) {
+                pinging = false;
+                silentPings = 0;
                 return;
             }
-            asks = ready && !waiting.isEmpty();
         }
-        if (!asks) {
-            silentPings = 0;
-        } else if (++silentPings > MAX_SILENT_PINGS) {
+        silentPings++;
+        if (silentPings > MAX_SILENT_PINGS) {
             end(new PeerException(PeerException.Kind.TIMEOUT, address + " is silent"), true);
             return;
-        } else if (silentPings > 1) {
+        }
+        if (silentPings > 1) {
             request(new Ping(silentPings));
         }
         schedulePing();
@@ -209,6 +209,9 @@
             return;
         }
         request.timer = expire(id);
+        if (limits.pingMillis() > 0 && !pinging) {
+            schedulePing();
+        }
     }
 
     private ScheduledFuture<?> expire(long id) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -15,6 +15,9 @@
 public record CallResult(
         Outcome outcome, String reason, int status, List<String> headers, byte[] body, long waitMillis) {
 
+    /** Reason of a call that reached another instance than the one chosen, which did not run it. */
+    static final String ANOTHER_INSTANCE = "another-instance";
+
     private static final byte[] EMPTY = new byte[0];
 
     /** How a call ended. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -1,5 +1,6 @@
 package io.jaywick.node.relay;
 
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -11,6 +12,7 @@
 import io.jaywick.core.gate.TargetGate;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.rules.ServiceRule;
+import io.netty.channel.EventLoop;
 
 /**
  * The target beside the node. Every call to it, from any node, passes here, so that its slots, its cold budget and its
@@ -18,6 +20,9 @@
  */
 final class LocalTarget implements CallTarget {
 
+    /** Queued calls are looked at this often: their deadlines and the budget of a cold target. */
+    private static final long QUEUE_INTERVAL_MILLIS = 20;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RelaySettings settings;
@@ -26,18 +31,35 @@
     private final TargetPool pool;
     private final LongSupplier nanoTime;
     private final RelayLog log;
+    private final TargetHealth health;
     private Instance current;
-    private boolean down;
+    private final EventLoop loop;
+    private boolean watching;
+    private boolean evacuated;
     private boolean leaving;
 
     LocalTarget(
-            RelaySettings settings, Supplier<FleetView> fleet, TargetPool pool, LongSupplier nanoTime, RelayLog log) {
+            RelaySettings settings,
+            Supplier<FleetView> fleet,
+            TargetPool pool,
+            EventLoop loop,
+            LongSupplier nanoTime,
+            RelayLog log) {
         this.settings = settings;
         this.fleet = fleet;
         this.gate = new TargetGate(nanoTime);
         this.pool = pool;
         this.nanoTime = nanoTime;
         this.log = log;
+        this.loop = loop;
+        this.health = new TargetHealth(
+                pool,
+                () -> fleet.get().rules().service(settings.service()),
+                settings.targetAddress(),
+                loop,
+                nanoTime,
+                millis -> turnCold(millis, "health"),
+                log);
     }
 
     /** Refuses further calls; those that wait or run go on. */
@@ -57,38 +79,59 @@
         return gate.isCold();
     }
 
-    /** Called at each short interval. */
-    void tick() {
-        gate.pump();
+    /** Looks at the queued calls again and again while there are any. */
+    private void watchQueue() {
+        if (!watching && gate.waiting() > 0) {
+            watching = true;
+            loop.schedule(
+                    () -> {
+                        watching = false;
+                        gate.pump();
+                        watchQueue();
+                    },
+                    QUEUE_INTERVAL_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Takes over what a new view says of the target. */
     void viewChanged() {
-        Instance known = null;
-        for (Instance instance : fleet.get().instancesOf(settings.service())) {
-            if (instance.address().equals(settings.targetAddress()) && (known == null || isNewer(instance, known))) {
-                known = instance;
-            }
+        FleetView view = fleet.get();
+        Instance known = listed(view);
+        boolean out = view.isEvacuated(settings.dataCentre());
+        if (evacuated && !out) {
+            // The target may have turned cold meanwhile, and its entry lags.
+            ServiceRule rule = view.rules().service(settings.service());
+            turnCold(rule == null ? 0 : rule.coldStartMillis(), "evacuation over");
+            health.doubt();
         }
-        if (known == null || known.equals(current)) {
-            if (known == null && current != null) {
+        evacuated = out;
+        if (known == null) {
+            if (current != null) {
                 log.change("target beside this node is no longer listed", "instance", current.id());
                 current = null;
                 gate.refuseWaiting(GateRefusal.LEAVING);
             }
             return;
         }
+        if (out || known.draining()) {
+            gate.refuseWaiting(GateRefusal.LEAVING);
+        }
+        if (!known.equals(current)) {
+            adopt(known);
+        }
+    }
+
+    private void adopt(Instance known) {
         boolean another =
                 current == null || !current.id().equals(known.id()) || current.bornMillis() != known.bornMillis();
+        boolean first = current == null;
         current = known;
         gate.setSlots(known.slots());
         long coldMillis = known.coldMillis(nanoTime.getAsLong());
         if (coldMillis > 0) {
             turnCold(coldMillis, "listed");
         }
-        if (known.draining() || fleet.get().isEvacuated(known.dataCentre())) {
-            gate.refuseWaiting(GateRefusal.LEAVING);
-        }
         if (another) {
             log.change(
                     "target beside this node",
@@ -101,9 +144,27 @@
                     "draining",
                     known.draining());
         }
+        if (first) {
+            health.doubt();
+        }
     }
 
-    private static boolean isNewer(Instance a, Instance b) {
+    /** The entry of the target at the address; of several that of the instance which answered there, or the newest. */
+    private Instance listed(FleetView view) {
+        Instance best = null;
+        for (Instance instance : view.instancesOf(settings.service())) {
+            if (instance.address().equals(settings.targetAddress()) && (best == null || isPreferred(instance, best))) {
+                best = instance;
+            }
+        }
+        return best;
+    }
+
+    private boolean isPreferred(Instance a, Instance b) {
+        String observed = pool.observedInstance();
+        if (a.id().equals(observed) != b.id().equals(observed)) {
+            return a.id().equals(observed);
+        }
         if (a.draining() != b.draining()) {
             return b.draining();
         }
@@ -115,6 +176,10 @@
         if (rule == null || rule.coldCallsPerSecond() <= 0) {
             return;
         }
+        if (millis <= 0) {
+            gate.setCold(nanoTime.getAsLong(), 0);
+            return;
+        }
         gate.setCold(nanoTime.getAsLong() + millis * NANOS_PER_MILLI, rule.coldCallsPerSecond());
         log.change("target is cold", "cause", cause, "forMillis", millis, "callsPerSecond", rule.coldCallsPerSecond());
     }
@@ -125,6 +190,7 @@
         Running running = new Running(call, done);
         if (refusal == null) {
             refusal = gate.offer(running);
+            watchQueue();
         }
         if (refusal != null) {
             done.accept(CallResult.refused(refusal).withWait(waitMillis(call, refusal)));
@@ -141,6 +207,9 @@
                 || !chosen.service().equals(call.service())) {
             return GateRefusal.UNKNOWN_INSTANCE;
         }
+        if (health.isDown()) {
+            return GateRefusal.TARGET_DOWN;
+        }
         if (leaving || chosen.draining() || view.isEvacuated(chosen.dataCentre())) {
             return GateRefusal.LEAVING;
         }
@@ -153,18 +222,6 @@
                 : gate.waitMillis(call.priority());
     }
 
-    private void observe(CallResult result) {
-        boolean lost =
-                result.outcome() == CallResult.Outcome.LOST && result.reason().startsWith("connection-")
-                        || result.reason().equals("target-down");
-        if (lost && !down) {
-            down = true;
-            log.change("target lost a connection", "reason", result.reason());
-        } else if (result.outcome() == CallResult.Outcome.ANSWERED) {
-            down = false;
-        }
-    }
-
     /** A call from its offer to its result. */
     private final class Running extends GateCall {
         private final ForwardCall call;
@@ -200,7 +257,10 @@
         }
 
         private void answered(CallResult result) {
-            observe(result);
+            health.observe(result);
+            if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
+                viewChanged();
+            }
             gate.ended(this, result.outcome() == CallResult.Outcome.ANSWERED);
             end(result.withWait(gate.waitMillis(call.priority())));
         }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -90,7 +90,7 @@
                 Math.min(request.millis(calls.names().deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
         deadlineNanos = request.receivedNanos() + allowedMillis * NANOS_PER_MILLI;
         service = calls.chooseService(route);
-        calls.retries().earn(service, calls.nodes());
+        calls.retries().countFirst(service);
         headers = forwardedHeaders();
         timeout = calls.loop()
                 .schedule(this::deadlinePassed, remainingMillis() + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -56,7 +56,8 @@
         this.names = names;
         this.fleet = fleet;
         this.placement = placement;
-        this.retries = new FleetRetryBudget(settings.retryRatio(), settings.retryAllowance());
+        this.retries = new FleetRetryBudget(
+                settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis(), nanoTime, random);
         this.local = local;
         this.peers = peers;
         this.loop = loop;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -2,15 +2,18 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.random.RandomGenerator;
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.PeerEntry;
+import io.jaywick.core.message.SourceQuery;
+import io.jaywick.core.message.SourceState;
 import io.jaywick.core.placement.Placement;
 import io.jaywick.core.rules.RuleSet;
 import io.jaywick.node.frame.FrameCodec;
@@ -50,8 +53,8 @@
     /** A peer that restarts is back within seconds. */
     private static final long MAX_BACKOFF_MILLIS = 500;
 
-    /** Queued calls are looked at this often: their deadlines and the budget of a cold target. */
-    private static final long TICK_MILLIS = 20;
+    /** How often a node that leaves looks whether it may end. */
+    private static final long TICK_MILLIS = 50;
 
     /** The platform notices that a node is not ready after two questions, one a second. */
     private static final long LEAVE_NOTICE_MILLIS = 2_300;
@@ -75,6 +78,8 @@
     private final DisposableServer ready;
     private final DisposableServer metrics;
     private final LongSupplier nanoTime;
+    private final SourceExchange source;
+    private Function<SourceQuery, SourceState> known;
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile FleetView view = new FleetView(RuleSet.EMPTY, List.of(), Set.of());
     private volatile boolean isReady;
@@ -86,7 +91,7 @@
             HeaderNames names,
             LoopResources loops,
             LongSupplier nanoTime,
-            RandomGenerator random,
+            Random random,
             PrometheusMeterRegistry registry,
             RelayLog log) {
         this.settings = settings;
@@ -101,24 +106,28 @@
                 QUEUE_FRAMES, CONNECT_MILLIS, REPLY_MILLIS, IDLE_MILLIS, PING_MILLIS, MAX_BACKOFF_MILLIS);
         this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, random);
         this.pool = new TargetPool(group, address(settings.targetAddress()), names, nanoTime, log);
-        this.local = new LocalTarget(settings, () -> view, pool, nanoTime, log);
+        this.local = new LocalTarget(settings, () -> view, pool, loop, nanoTime, log);
         this.peers = new PeerCalls(link, local, log);
         peers.register(handlers);
         handlers.register(
                 Hello.class,
                 message ->
                         CompletableFuture.completedFuture(new Hello(codec.minVersion(), codec.maxVersion(), self())));
+        Placement placement = new Placement(
+                settings.host(),
+                settings.dataCentre(),
+                settings.region(),
+                settings.regionByDataCentre(),
+                nanoTime,
+                random);
+        this.source = new SourceExchange(
+                link, () -> view, placement, address(settings.peerAddress()).getPort(), settings.seedHosts(), random);
+        source.answer(handlers, query -> known == null ? null : known.apply(query));
         this.calls = new OutboundCalls(
                 settings,
                 names,
                 () -> view,
-                new Placement(
-                        settings.host(),
-                        settings.dataCentre(),
-                        settings.region(),
-                        settings.regionByDataCentre(),
-                        nanoTime,
-                        random),
+                placement,
                 local,
                 peers,
                 loop,
@@ -145,7 +154,6 @@
                                 "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
                                         .sendString(Mono.fromSupplier(registry::scrape))))
                         .bindNow();
-        loop.scheduleAtFixedRate(local::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         registry.gauge("jaywick.target.running", local, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", local, LocalTarget::waiting);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
@@ -193,6 +201,12 @@
         });
     }
 
+    /** Lets this node ask its peers for what the source published, and answer their questions from the given function. */
+    public SourceExchange exchange(Function<SourceQuery, SourceState> newer) {
+        known = newer;
+        return source;
+    }
+
     /** Address at which callers beside the node send their calls. */
     public InetSocketAddress outboundAddress() {
         return clients.address();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -1,5 +1,6 @@
 package io.jaywick.node.relay;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -11,11 +12,13 @@
  * @param targetAddress HOST:PORT of the target beside the node
  * @param outboundAddress HOST:PORT at which callers beside the node send their calls
  * @param peerAddress HOST:PORT at which the node takes calls from other nodes; the port is the same on every node
+ * @param seedHosts hosts of a few nodes, which may be stale; asked while no other node is known
  * @param readyAddress HOST:PORT at which the platform asks whether the node takes new work
  * @param readyPath path of that question
  * @param metricsAddress HOST:PORT of the metrics, or null
  * @param retryRatio calls that may be sent again for each first call, over the whole fleet
  * @param retryAllowance further repeats in each window, over the whole fleet
+ * @param retryWindowMillis length of these windows
  * @param graceMillis time between the request to stop and the forced end
  */
 public record RelaySettings(
@@ -28,9 +31,11 @@
         String targetAddress,
         String outboundAddress,
         String peerAddress,
+        List<String> seedHosts,
         String readyAddress,
         String readyPath,
         String metricsAddress,
         double retryRatio,
         double retryAllowance,
+        long retryWindowMillis,
         long graceMillis) {}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -131,14 +131,21 @@
         }
     }
 
+    /** A health check carries no request id, and neither does its answer. */
+    private static boolean isProbe(ForwardCall call) {
+        return call.requestId().isEmpty();
+    }
+
     private HttpRequest request(ForwardCall call, long remainingMillis) {
         ByteBuf body = Unpooled.wrappedBuffer(call.body());
         DefaultFullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(call.method()), call.uri(), body);
         HopHeaders.addTo(request.headers(), call.headers());
-        HeaderNames names = pool.names();
-        request.headers().set(names.deadlineMillis(), remainingMillis);
-        request.headers().set(names.expectedInstance(), call.instanceId());
+        if (!isProbe(call)) {
+            HeaderNames names = pool.names();
+            request.headers().set(names.deadlineMillis(), remainingMillis);
+            request.headers().set(names.expectedInstance(), call.instanceId());
+        }
         if (call.body().length > 0 || !"GET".equals(call.method()) && !"HEAD".equals(call.method())) {
             HttpUtil.setContentLength(request, call.body().length);
         }
@@ -172,7 +179,9 @@
 
     private void begin(HttpResponse head) {
         String id = head.headers().get(pool.names().requestId());
-        belongs = exchange.call.requestId().equals(id) && head.status().code() != STATUS_CONTINUE;
+        boolean matches =
+                isProbe(exchange.call) ? id == null : exchange.call.requestId().equals(id);
+        belongs = matches && head.status().code() != STATUS_CONTINUE;
         if (belongs) {
             exchange.head = head;
         } else if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
@@ -211,8 +220,12 @@
         HttpHeaders headers = head.headers();
         int status = head.status().code();
         HeaderNames names = pool.names();
+        if (isProbe(exchange.call)) {
+            return CallResult.answered(status, HopHeaders.copy(headers, Set.of()), exchange.body.toByteArray());
+        }
         if (status == STATUS_MISDIRECTED) {
-            return CallResult.shed("another-instance");
+            pool.observedInstance(headers.get(names.instanceId()));
+            return CallResult.shed(CallResult.ANOTHER_INSTANCE);
         }
         if (headers.contains(names.notExecuted())) {
             return CallResult.shed("target-shed");
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -0,0 +1,153 @@
+package io.jaywick.node.relay;
+
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.rules.ServiceRule;
+import io.netty.channel.EventLoop;
+
+/**
+ * Asks the target for its health, only when there is a reason to doubt what the node believes: after the node's start,
+ * after a lost connection and after an evacuation. Health answers may mislead, so only the identity of the target, its
+ * cold time and whether it answers at all are taken from them.
+ */
+final class TargetHealth {
+
+    /** Doubts of this time are settled by one check, because each check costs the target a slot. */
+    private static final long MIN_INTERVAL_MILLIS = 300;
+
+    /** A check waits for a slot like any call. */
+    private static final long TIMEOUT_MILLIS = 2_000;
+
+    private static final byte[] NO_BODY = new byte[0];
+
+    private final TargetPool pool;
+    private final Supplier<ServiceRule> rule;
+    private final String host;
+    private final EventLoop loop;
+    private final LongSupplier nanoTime;
+    private final LongConsumer coldMillis;
+    private final RelayLog log;
+    private boolean asking;
+    private boolean down;
+    private long downSinceNanos;
+
+    TargetHealth(
+            TargetPool pool,
+            Supplier<ServiceRule> rule,
+            String host,
+            EventLoop loop,
+            LongSupplier nanoTime,
+            LongConsumer coldMillis,
+            RelayLog log) {
+        this.pool = pool;
+        this.rule = rule;
+        this.host = host;
+        this.loop = loop;
+        this.nanoTime = nanoTime;
+        this.coldMillis = coldMillis;
+        this.log = log;
+    }
+
+    /** Whether the last attempt to connect failed; calls are refused at once until a check succeeds. */
+    boolean isDown() {
+        return down;
+    }
+
+    /** Notes how a call ended. */
+    void observe(CallResult result) {
+        boolean lost =
+                result.outcome() == CallResult.Outcome.LOST && result.reason().startsWith("connection-");
+        if (result.reason().equals("target-down")) {
+            wentDown();
+        }
+        if (lost || result.reason().equals("target-down")) {
+            doubt();
+        }
+    }
+
+    /** Asks the target soon, unless that is under way. */
+    void doubt() {
+        if (!asking && rule.get() != null) {
+            asking = true;
+            loop.schedule(this::ask, down ? MIN_INTERVAL_MILLIS : 0, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void ask() {
+        ServiceRule service = rule.get();
+        if (service == null) {
+            asking = false;
+            return;
+        }
+        ForwardCall check = new ForwardCall(
+                "health",
+                "",
+                "GET",
+                service.healthPath(),
+                List.of("Host", host),
+                NO_BODY,
+                service.name(),
+                "",
+                "",
+                true,
+                0,
+                TIMEOUT_MILLIS,
+                TIMEOUT_MILLIS,
+                false);
+        pool.send(check, () -> TIMEOUT_MILLIS, this::answered);
+    }
+
+    private void answered(CallResult result) {
+        loop.schedule(() -> asking = false, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        if (result.reason().equals("target-down")) {
+            wentDown();
+            loop.schedule(this::doubt, MIN_INTERVAL_MILLIS + 1, TimeUnit.MILLISECONDS);
+            return;
+        }
+        if (result.outcome() != CallResult.Outcome.ANSWERED) {
+            log.change("target's health is unknown", "reason", result.reason());
+            return;
+        }
+        cameBack();
+        pool.observedInstance(header(result, pool.names().instanceId()));
+        String cold = header(result, pool.names().coldMillis());
+        if (cold != null) {
+            try {
+                coldMillis.accept(Long.parseLong(cold.trim()));
+            } catch (NumberFormatException e) {
+                log.warning("unreadable cold time in a health answer", "value", cold);
+            }
+        }
+    }
+
+    private void wentDown() {
+        if (!down) {
+            down = true;
+            downSinceNanos = nanoTime.getAsLong();
+            log.change("target is down");
+        }
+    }
+
+    private void cameBack() {
+        if (down) {
+            down = false;
+            long millis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - downSinceNanos);
+            log.change("target is back", "downMillis", millis);
+        }
+    }
+
+    private static String header(CallResult result, String name) {
+        List<String> headers = result.headers();
+        for (int i = 0; i + 1 < headers.size(); i += 2) {
+            if (headers.get(i).equalsIgnoreCase(name)) {
+                return headers.get(i + 1);
+            }
+        }
+        return null;
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -13,8 +13,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import jdk.net.ExtendedSocketOptions;
 
 /** Connections to the target beside the node. The one used last is used first, so that few stay open. */
 final class TargetPool implements AutoCloseable {
@@ -25,12 +27,18 @@
     /** The target stands on the same host; a connection that takes longer is not coming. */
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+    /** A connection whose target went silent is given up after about three seconds. */
+    private static final int KEEPALIVE_SECONDS = 1;
+
+    private static final int KEEPALIVE_PROBES = 2;
+
     private final Bootstrap bootstrap;
     private final HeaderNames names;
     private final LongSupplier nanoTime;
     private final RelayLog log;
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> open = new HashSet<>();
+    private String observedInstance;
 
     TargetPool(EventLoopGroup loop, InetSocketAddress address, HeaderNames names, LongSupplier nanoTime, RelayLog log) {
         this.names = names;
@@ -41,6 +49,10 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
                 .remoteAddress(address)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -134,6 +146,19 @@
         open.remove(connection);
     }
 
+    /** Notes which instance answered at the address. */
+    void observedInstance(String id) {
+        if (id != null && !id.equals(observedInstance)) {
+            observedInstance = id;
+            log.change("instance observed at the target's address", "instance", id);
+        }
+    }
+
+    /** The instance that answered last at the address, or null when none has said its id. */
+    String observedInstance() {
+        return observedInstance;
+    }
+
     int openConnections() {
         return open.size();
     }
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/FakeTarget.java
@@ -0,0 +1,134 @@
+package io.jaywick.node.relay;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A target that answers with the bytes of a script and keeps what it was sent. */
+final class FakeTarget implements AutoCloseable {
+
+    /** Writes an answer; the connection is closed when it returns false. */
+    @FunctionalInterface
+    interface Script {
+
+        boolean answer(Received request, OutputStream out) throws IOException, InterruptedException;
+    }
+
+    /** One request as it arrived. */
+    record Received(String head, String body) {
+
+        String header(String name) {
+            for (String line : head.split("\r\n")) {
+                if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                    return line.substring(name.length() + 1).trim();
+                }
+            }
+            return null;
+        }
+    }
+
+    private final ServerSocket server;
+    private final List<Received> received = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    private volatile Script script = (request, out) -> write(out, answer(request, 200, "ok"));
+
+    FakeTarget() throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        start(this::accept);
+    }
+
+    static boolean write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+        return true;
+    }
+
+    static String answer(Received request, int status, String body) {
+        return "HTTP/1.1 " + status + " Some Reason\r\nRequest-Id: " + request.header("Request-Id")
+                + "\r\nStamp: s\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    void script(Script newer) {
+        script = newer;
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** Requests with an id, which leaves health checks out. */
+    List<Received> calls() {
+        return received.stream()
+                .filter(request -> request.header("Request-Id") != null)
+                .toList();
+    }
+
+    int connections() {
+        return connections.get();
+    }
+
+    private static void start(Runnable work) {
+        Thread thread = new Thread(work, "fake-target");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                connections.incrementAndGet();
+                start(() -> serve(socket));
+            }
+        } catch (IOException e) {
+            // The test has closed the target.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            for (Received request = read(in); request != null; request = read(in)) {
+                received.add(request);
+                boolean health = request.header("Request-Id") == null;
+                boolean goesOn = health
+                        ? write(socket.getOutputStream(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                        : script.answer(request, socket.getOutputStream());
+                if (!goesOn) {
+                    return;
+                }
+            }
+        } catch (IOException | InterruptedException e) {
+            // The node has closed the connection.
+        }
+    }
+
+    private static Received read(InputStream in) throws IOException {
+        ByteArrayOutputStream head = new ByteArrayOutputStream();
+        while (!head.toString(StandardCharsets.ISO_8859_1).endsWith("\r\n\r\n")) {
+            int next = in.read();
+            if (next < 0) {
+                return null;
+            }
+            head.write(next);
+        }
+        Received request = new Received(head.toString(StandardCharsets.ISO_8859_1), "");
+        String length = request.header("Content-Length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return new Received(request.head(), new String(body, StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -0,0 +1,135 @@
+package io.jaywick.node.relay;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.rules.CallerLimits;
+import io.jaywick.core.rules.RouteRule;
+import io.jaywick.core.rules.RuleSet;
+import io.jaywick.core.rules.ServiceRule;
+import io.jaywick.core.rules.ServiceWeight;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import reactor.netty.resources.LoopResources;
+
+/** Two nodes on different loopback addresses, a target beside the second, and a caller beside the first. */
+final class RelayFixture implements AutoCloseable {
+
+    static final HeaderNames NAMES =
+            new HeaderNames("Request-Id", "Deadline", "Stamp", "Expect", "Not-Executed", "Caller", "Instance", "Cold");
+
+    static final CallerLimits LIMITS = new CallerLimits(2_000, 10_000, 300, 5_000);
+
+    private static final String CALLER_HOST = "127.0.0.2";
+    private static final String TARGET_HOST = "127.0.0.1";
+
+    final FakeTarget target;
+    final Relay caller;
+    final Relay other;
+    private final LoopResources loops = LoopResources.create("test-relay", 1, true);
+
+    RelayFixture() throws IOException {
+        target = new FakeTarget();
+        int peerPort;
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(TARGET_HOST))) {
+            peerPort = socket.getLocalPort();
+        }
+        caller = relay("caller", CALLER_HOST, peerPort, CALLER_HOST + ":1");
+        other = relay("other", TARGET_HOST, peerPort, target.address());
+    }
+
+    private Relay relay(String name, String host, int peerPort, String targetAddress) {
+        RelaySettings settings = new RelaySettings(
+                name,
+                host,
+                "dc",
+                "region",
+                Map.of("dc", "region"),
+                name + "-service",
+                targetAddress,
+                host + ":0",
+                host + ":" + peerPort,
+                List.of(),
+                host + ":0",
+                "/ready",
+                null,
+                0.2,
+                100,
+                10_000,
+                2_000);
+        return new Relay(
+                settings,
+                NAMES,
+                loops,
+                System::nanoTime,
+                new Random(5),
+                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
+                new RelayLog(System.getLogger("test"), System::nanoTime));
+    }
+
+    /** Lets both nodes believe that the target serves two routes, one of them idempotent, with the given timeout. */
+    void publish(long timeoutMillis) {
+        List<RouteRule> routes = new ArrayList<>();
+        for (String kind : List.of("safe", "unsafe")) {
+            routes.add(new RouteRule(
+                    kind,
+                    "h.example",
+                    "/" + kind + "/",
+                    kind.equals("safe"),
+                    timeoutMillis,
+                    timeoutMillis / 2,
+                    1,
+                    2,
+                    Set.of(),
+                    List.of(new ServiceWeight("other-service", 1))));
+        }
+        RuleSet rules =
+                new RuleSet(1, routes, List.of(new ServiceRule("other-service", "/health", 100, 3_000, 0)), LIMITS);
+        Instance instance = new Instance(
+                "i-1", "other-service", target.address(), "dc", "v1", 4, false, 0, 1, 0, System.nanoTime());
+        FleetView view = new FleetView(rules, List.of(instance), Set.of());
+        caller.adopt(view);
+        other.adopt(view);
+        // The first call finds the views adopted, because both run on the loop before it.
+    }
+
+    /** Sends raw bytes to the caller's node and returns all that comes back until it closes. */
+    String exchange(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    Socket connect() throws IOException {
+        Socket socket = new Socket(
+                InetAddress.getByName(CALLER_HOST), caller.outboundAddress().getPort());
+        socket.setSoTimeout((int) Duration.ofSeconds(20).toMillis());
+        return socket;
+    }
+
+    /** A request whose connection ends with its answer. */
+    static String request(String method, String path, String id, String body) {
+        return method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: " + id
+                + "\r\nConnection: close\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    @Override
+    public void close() throws IOException {
+        caller.close();
+        other.close();
+        target.close();
+        loops.dispose();
+    }
+}
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -0,0 +1,272 @@
+package io.jaywick.node.relay;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static io.jaywick.node.relay.RelayFixture.request;
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+class RelayTestCase {
+
+    private static final long TIMEOUT_MILLIS = 10_000;
+
+    private RelayFixture fixture;
+
+    @BeforeEach
+    void start() throws IOException {
+        fixture = new RelayFixture();
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        fixture.close();
+    }
+
+    private String call(String method, String path, String id, String body) throws IOException {
+        return fixture.exchange(request(method, path, id, body));
+    }
+
+    /** Guards against a request or an answer that is changed on its way over two nodes. */
+    @Test
+    void requestAndAnswerPassUnchanged() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        String answer = call("POST", "/unsafe/x?q=1", "id-1", "body bytes");
+        assertThat(answer, startsWith("HTTP/1.1 200 "));
+        assertThat(answer, containsString("Stamp: s\r\n"));
+        assertThat(answer, endsWith("\r\n\r\nok"));
+        FakeTarget.Received received = fixture.target.calls().get(0);
+        assertThat(received.head(), startsWith("POST /unsafe/x?q=1 HTTP/1.1\r\n"));
+        assertThat(received.body(), is("body bytes"));
+        assertThat(received.header("Request-Id"), is("id-1"));
+        assertThat(received.header("Expect"), is("i-1"));
+        assertThat(received.header("Caller"), is("caller-service"));
+        assertThat(received.header("Host"), is("h.example"));
+    }
+
+    /** Guards against a caller that claims another service than the one beside its node. */
+    @Test
+    void callersServiceIsSetByTheNode() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.exchange("GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\nCaller: forged\r\n"
+                + "Connection: close\r\n\r\n");
+        assertThat(fixture.target.calls().get(0).header("Caller"), is("caller-service"));
+    }
+
+    @Test
+    void unknownRouteIsNotFound() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(call("GET", "/none/1", "a", ""), startsWith("HTTP/1.1 404 "));
+    }
+
+    /** Guards against a 404 for a route that the node cannot know yet. */
+    @Test
+    void withoutRulesTheCallerIsAskedToComeBack() throws IOException {
+        String answer = call("GET", "/safe/1", "a", "");
+        assertThat(answer, startsWith("HTTP/1.1 503 "));
+        assertThat(answer.toLowerCase(), containsString("retry-after: 0."));
+    }
+
+    /** Guards against a request inside another one: two lengths, and a length beside chunks. */
+    @Test
+    void ambiguousLengthsAreRejected() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        String head = "POST /unsafe/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\n";
+        assertThat(
+                fixture.exchange(head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nabcde"),
+                startsWith("HTTP/1.1 400 "));
+        assertThat(
+                fixture.exchange(head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+                startsWith("HTTP/1.1 400 "));
+        assertThat(fixture.target.calls(), hasSize(0));
+    }
+
+    @Test
+    void malformedAndOversizedRequestsAreRejected() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(fixture.exchange("nonsense\r\n\r\n"), startsWith("HTTP/1.1 400 "));
+        assertThat(
+                fixture.exchange("GET /safe/1 HTTP/1.1\r\nHost: h.example\r\nX: " + "x".repeat(3_000) + "\r\n\r\n"),
+                startsWith("HTTP/1.1 431 "));
+        assertThat(
+                fixture.exchange("POST /unsafe/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\n"
+                        + "Content-Length: 20000\r\n\r\n"),
+                startsWith("HTTP/1.1 413 "));
+        assertThat(fixture.target.calls(), hasSize(0));
+    }
+
+    /** Guards against a caller that holds a connection with half a request head. */
+    @Test
+    void slowHeadIsTimedOut() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(fixture.exchange("GET /safe/1 HTTP/1.1\r\nHost: h"), startsWith("HTTP/1.1 408 "));
+    }
+
+    /** Guards against half an answer that looks complete; an idempotent call may be sent again, but not to the same. */
+    @Test
+    void cutAnswerIsNeverPassedOn() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, FakeTarget.answer(request, 200, "whole").replace("whole", "wh"));
+            return false;
+        });
+        String answer = call("POST", "/unsafe/1", "a", "");
+        assertThat(answer, startsWith("HTTP/1.1 502 "));
+        assertThat(fixture.target.calls(), hasSize(1));
+    }
+
+    /** Guards against an answer under another request's id, which belongs to nobody. */
+    @Test
+    void answerOfAnotherRequestIsDropped() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, FakeTarget.answer(request, 200, "late").replace("Request-Id: b", "Request-Id: zz"));
+            return FakeTarget.write(out, FakeTarget.answer(request, 200, "right"));
+        });
+        assertThat(call("POST", "/unsafe/1", "b", ""), endsWith("right"));
+    }
+
+    /** Guards against surplus bytes that are read as the answer to the next request on the connection. */
+    @Test
+    void surplusBytesEndTheConnection() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.answer(request, 200, "one") + FakeTarget.answer(request, 200, "two")));
+        assertThat(call("POST", "/unsafe/1", "a", ""), endsWith("one"));
+        assertThat(call("POST", "/unsafe/1", "b", ""), endsWith("one"));
+        assertThat(fixture.target.calls(), hasSize(2));
+    }
+
+    /** Guards against an answer without length that is refused although its end is clean. */
+    @Test
+    void answerThatEndsWithItsConnectionIsWhole() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\n\r\nall of it");
+            return false;
+        });
+        assertThat(call("POST", "/unsafe/1", "a", ""), endsWith("all of it"));
+    }
+
+    /** Guards against a success that no target signed. */
+    @Test
+    void unsignedSuccessIsNotPassedOn() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.answer(request, 200, "x").replace("Stamp: s\r\n", "")));
+        assertThat(call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Guards against "not run" for a call whose first run may have happened. */
+    @Test
+    void lostAnswerOfAnUnsafeCallIsNotCalledNotRun() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> false);
+        assertThat(call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 502 "));
+        assertThat(fixture.target.calls(), hasSize(1));
+    }
+
+    /** Guards against a final answer for a call that the target says it has not run. */
+    @Test
+    void shedCallMayComeBack() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.answer(request, 503, "").replace("Stamp: s", "Not-Executed: 1")));
+        String answer = call("POST", "/unsafe/1", "a", "");
+        assertThat(answer, startsWith("HTTP/1.1 503 "));
+        assertThat(answer.toLowerCase(), containsString("retry-after: "));
+    }
+
+    /** Guards against callers that are kept waiting beyond their route's timeout. */
+    @Test
+    void silentTargetIsGivenUpAtTheTimeout() throws IOException {
+        fixture.publish(300);
+        CountDownLatch never = new CountDownLatch(1);
+        fixture.target.script((request, out) -> never.await(20, TimeUnit.SECONDS));
+        assertThat(call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 504 "));
+        assertThat(Long.parseLong(fixture.target.calls().get(0).header("Deadline")) <= 300, is(true));
+        never.countDown();
+    }
+
+    /** Guards against work that goes on for a caller that has left. */
+    @Test
+    void callerThatLeavesEndsTheRun() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch closed = new CountDownLatch(1);
+        fixture.target.script((request, out) -> {
+            running.countDown();
+            try {
+                while (true) {
+                    FakeTarget.write(out, "HTTP/1.1 100 Continue\r\n\r\n");
+                    TimeUnit.MILLISECONDS.sleep(10);
+                }
+            } catch (IOException e) {
+                closed.countDown();
+                return false;
+            }
+        });
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request("GET", "/safe/1", "a", "").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(running.await(20, TimeUnit.SECONDS), is(true));
+        }
+        assertThat(closed.await(20, TimeUnit.SECONDS), is(true));
+    }
+
+    /** Guards against a connection to the target for each call, which targets have to pay for. */
+    @Test
+    void connectionsToTheTargetAreReused() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        for (int i = 0; i < 10; i++) {
+            assertThat(call("GET", "/safe/" + i, "id-" + i, ""), startsWith("HTTP/1.1 200 "));
+        }
+        assertThat(fixture.target.connections() <= 2, is(true));
+    }
+
+    /** Guards against pipelined requests that get each other's answers. */
+    @Test
+    void pipelinedRequestsAreAnsweredInOrder() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.answer(request, 200, "for " + request.header("Request-Id"))));
+        String first = request("GET", "/safe/1", "one", "").replace("Connection: close\r\n", "");
+        String answers = fixture.exchange(first + request("GET", "/safe/2", "two", ""));
+        assertThat(answers.indexOf("for one") < answers.indexOf("for two"), is(true));
+        assertThat(answers, not(containsString("50")));
+    }
+
+    /** Guards against a graceful end that cuts a call under way or takes new ones from other nodes. */
+    @Test
+    void leavingNodeFinishesItsCalls() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        fixture.target.script((request, out) -> {
+            running.countDown();
+            go.await(20, TimeUnit.SECONDS);
+            return FakeTarget.write(out, FakeTarget.answer(request, 200, "done"));
+        });
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request("GET", "/safe/1", "a", "").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(running.await(20, TimeUnit.SECONDS), is(true));
+            fixture.other.leave();
+            assertThat(call("GET", "/safe/2", "b", ""), startsWith("HTTP/1.1 503 "));
+            go.countDown();
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer, endsWith("done"));
+        }
+        fixture.other.leave().get(20, TimeUnit.SECONDS);
+    }
+}
