Count only calls ahead in the queue; leave nested repeats room in the retry budget

Also seen: callers were turned away from targets whose queue held only calls that were late already and would have been overtaken; a node that leaves took calls until its end and would have cut them. Change: the gate counts the work of calls that start before the new one; FleetRetryBudget uses 0.3 of the ratio and half of the allowance; a leaving node refuses new calls from 45% of the grace time on. The test hopelessCallIsRefusedAtOnce let the hopeless call overtake the queue by its earlier objective; its queue now has the higher priority, and the bound is the same. Figures: callsOfRepeatedRunsFitIntoTheBudgetOfTheServiceCalled fails with the old parts.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -69,7 +69,7 @@
             return GateRefusal.COLD;
         }
         double workMillis = times.millis(call.route);
-        double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
+        double endNanos = now + (waitMillis(call, now) + workMillis) * NANOS_PER_MILLI;
         // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
         if (call.trial && running > 0 && endNanos > call.objectiveNanos) {
             return isColdBudgetUsedUp(now) ? GateRefusal.COLD : GateRefusal.BUSY;
@@ -86,18 +86,32 @@
         return null;
     }
 
-    /** Expected wait in milliseconds of a call that comes now. */
+    /** Expected wait in milliseconds of an average call of a priority that comes now. */
     public long waitMillis(int priority) {
-        if (running < slots && waiting.isEmpty()) {
-            return 0;
-        }
-        int ahead = Math.max(0, running - slots);
+        double workMillis = 0;
         for (GateCall call : waiting) {
             if (call.priority <= priority) {
-                ahead++;
+                workMillis += times.millis(call.route);
             }
         }
-        return (long) Math.ceil((ahead + 1) * times.overallMillis() / slots);
+        return (long) Math.ceil(waitMillis(workMillis));
+    }
+
+    /** Expected wait of one call: only calls that would start before it count. */
+    private double waitMillis(GateCall call, long now) {
+        double workMillis = 0;
+        for (GateCall other : waiting) {
+            if (!comesBefore(call, other, now)) {
+                workMillis += times.millis(other.route);
+            }
+        }
+        return waitMillis(workMillis);
+    }
+
+    /** With all slots taken the next one is free after a slot's share of an average call. */
+    private double waitMillis(double workAheadMillis) {
+        boolean full = running >= slots;
+        return (workAheadMillis + (full ? times.overallMillis() : 0)) / slots;
     }
 
     /** The target has answered the call or lost it; its work counts for the estimates when it was answered. */
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
@@ -7,17 +7,19 @@
 
 /**
  * This node's part of a retry budget that all nodes share without talking to each other. For each service the fleet may
- * send again, in any window, a ratio of the first calls and a fixed allowance. A node takes half of the ratio of its own
- * first calls, because the calls that a repeated run makes count as repeats too, and an equal share of the allowance.
+ * send again, in any window, a ratio of the first calls and a fixed allowance. A node takes a part of the ratio of its own
+ * first calls and an equal share of a part of the allowance, because the calls that a repeated run makes count as
+ * repeats of the services called, and no node sees them all.
  * Parts of a call are rounded up or down at random, so that many nodes with few calls neither exceed the budget nor
  * leave it unused. Not thread-safe.
  */
 public final class FleetRetryBudget {
 
-    private static final double RATIO_USED = 0.5;
+    /** A run that calls another service twice, repeated at this rate, still leaves that service a third of its budget. */
+    private static final double RATIO_USED = 0.3;
 
     /** The rest of the allowance covers nodes that restart and forget what they have sent. */
-    private static final double ALLOWANCE_USED = 0.7;
+    private static final double ALLOWANCE_USED = 0.5;
 
     private final double ratio;
     private final double allowance;
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -102,6 +102,17 @@
         assertThat(gate.offer(new Call("last resort", 1, 60, 5_000, false)), nullValue());
     }
 
+    /** Pattern burst: calls that are late already do not turn away one that would overtake them and be in time. */
+    @Test
+    void lateCallsDoNotCountAsAheadOfOneInTime() {
+        gate.setSlots(1);
+        gate.offer(call("running"));
+        for (int i = 0; i < 20; i++) {
+            gate.offer(new Call("late " + i, 1, 1, 60_000, false));
+        }
+        assertThat(gate.offer(new Call("in time", 1, 400, 5_000, true)), nullValue());
+    }
+
     /** Guards against a slow target that is avoided for ever because nobody sees that it has recovered. */
     @Test
     void idleTargetTakesATrialThoughItWasSlow() {
@@ -118,7 +129,7 @@
         gate.setSlots(1);
         gate.offer(call("running"));
         for (int i = 0; i < 20; i++) {
-            gate.offer(call("waiting " + i));
+            gate.offer(new Call("urgent " + i, 0, 1_000, 5_000, false));
         }
         assertThat(gate.offer(new Call("hopeless", 1, 100, 300, false)), is(GateRefusal.OVERLOADED));
     }
--- a/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
@@ -54,6 +54,38 @@
         }
     }
 
+    /**
+     * Pattern answer_lost at a service whose runs call another one: the repeats of both together stay inside the budget
+     * of the service called. A played day counted 839 arrivals of 807 allowed.
+     */
+    @Test
+    void callsOfRepeatedRunsFitIntoTheBudgetOfTheServiceCalled() {
+        int nodes = 18;
+        FleetRetryBudget[] budgets = new FleetRetryBudget[nodes];
+        for (int i = 0; i < nodes; i++) {
+            budgets[i] = budget(ALLOWANCE);
+        }
+        int calls = 0;
+        int repeats = 0;
+        for (int i = 0; i < 1_300; i++) {
+            nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(WINDOW_MILLIS) / 1_300);
+            int runs = 1;
+            budgets[random.nextInt(nodes)].countFirst("caller");
+            if (budgets[random.nextInt(nodes)].tryTake("caller", nodes)) {
+                runs++;
+            }
+            // Seven runs of ten make two calls; every call fails, and all calls of the second run are repeats.
+            for (int call = 0; call < 2 * runs && i % 10 < 7; call++) {
+                FleetRetryBudget own = budgets[random.nextInt(nodes)];
+                calls++;
+                own.countFirst("called");
+                boolean again = own.tryTake("called", nodes);
+                repeats += (call >= 2 ? 1 : 0) + (again ? 1 : 0);
+            }
+        }
+        assertThat((double) repeats, lessThanOrEqualTo(RATIO * calls + ALLOWANCE));
+    }
+
     private static int inWindow(List<Long> times, long end, long window) {
         int count = 0;
         for (long time : times) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -77,6 +77,10 @@
             end(ClientAnswer.own(ClientAnswer.BAD_REQUEST, "no-request-id", 0));
             return;
         }
+        if (calls.isRefusing()) {
+            end(refusal("node-leaves"));
+            return;
+        }
         if (!view.rules().isKnown()) {
             end(refusal("no-rules"));
             return;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -36,6 +36,7 @@
     private final RelayMeters meters;
     private final Map<String, SmoothWeights<ServiceWeight>> weights = new HashMap<>();
     private final int peerPort;
+    private boolean refusing;
     private int inFlight;
     private int nodes = 1;
     private long lastCallNumber;
@@ -108,6 +109,15 @@
         return settings.host() + "-" + lastCallNumber;
     }
 
+    /** From now on new calls are refused as not run. */
+    void refuseNew() {
+        refusing = true;
+    }
+
+    boolean isRefusing() {
+        return refusing;
+    }
+
     void started() {
         inFlight++;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -59,6 +59,12 @@
     /** The platform notices that a node is not ready after two questions, one a second. */
     private static final long LEAVE_NOTICE_MILLIS = 2_300;
 
+    /**
+     * From this part of the grace time on callers are refused, so that what was taken before can end in the rest; callers
+     * that still come then have no other node to go to.
+     */
+    private static final double LEAVE_REFUSE_PART = 0.45;
+
     /** The process ends this long before it would be killed. */
     private static final long LEAVE_MARGIN_MILLIS = 500;
 
@@ -202,7 +208,7 @@
     }
 
     /** Lets this node ask its peers for what the source published, and answer their questions from the given function. */
-    public SourceExchange exchange(Function<SourceQuery, SourceState> newer) {
+    public PeerSource exchange(Function<SourceQuery, SourceState> newer) {
         known = newer;
         return source;
     }
@@ -234,6 +240,9 @@
     private void checkLeft() {
         long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - leaveStartNanos);
         boolean last = elapsedMillis >= settings.graceMillis() - LEAVE_MARGIN_MILLIS;
+        if (elapsedMillis >= settings.graceMillis() * LEAVE_REFUSE_PART) {
+            calls.refuseNew();
+        }
         if (elapsedMillis < LEAVE_NOTICE_MILLIS && !last) {
             return;
         }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -25,7 +25,7 @@
  * Passes on what the source published, between nodes: a node that the source refuses, or cannot reach, asks its peers,
  * the near ones more often than the far ones. Runs on the event loop of the relay.
  */
-public final class SourceExchange {
+final class SourceExchange implements PeerSource {
 
     /** Out of so many questions one goes to a peer in any place, so that a cut data centre still learns. */
     private static final int FAR_EVERY = 4;
@@ -61,7 +61,7 @@
         });
     }
 
-    /** Asks one peer; the result is null when it knows nothing newer, and fails when there is none or it is silent. */
+    @Override
     public CompletableFuture<SourceState> ask(long revision) {
         String host = nextHost();
         if (host == null) {
