--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -12,6 +12,7 @@
 import io.jaywick.cli.check.GenerateCommand;
 import io.jaywick.cli.check.PackCommand;
 import io.jaywick.cli.demo.DemoCommand;
+import io.jaywick.cli.explain.ExplainCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.scenario.ScenarioCommand;
 import io.jaywick.cli.standin.StandinCommand;
@@ -41,9 +42,9 @@
         commands.add(new RecordBenchCommand());
         commands.add(new CheckCommand());
         commands.add(new DemoCommand());
+        commands.add(new ExplainCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
-        commands.add(new RecordBenchCommand());
         commands.add(new ReportCommand());
         commands.add(new ScenarioCommand());
         commands.add(new StandinCommand());
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/explain/LogLines.java
@@ -0,0 +1,76 @@
+package io.jaywick.cli.explain;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.jaywick.cli.UsageException;
+
+/** Reads log files line by line. Text before the JSON object, as collectors add it, is skipped. */
+final class LogLines {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final TypeReference<LinkedHashMap<String, Object>> FIELDS = new TypeReference<>() {};
+    private static final Set<String> NAMED = Set.of("time", "node", "message", "requestId", "logger", "level");
+
+    private final List<Path> files;
+    private long damaged;
+
+    LogLines(List<Path> files) {
+        this.files = files;
+    }
+
+    /** Lines so far that looked like log lines and could not be read. */
+    long damaged() {
+        return damaged;
+    }
+
+    /** Passes on the lines whose text is wanted; only those are parsed, so that large files are read fast. */
+    void read(Predicate<String> wanted, Consumer<LogLine> lines) {
+        for (Path file : files) {
+            try (BufferedReader reader = Files.newBufferedReader(file, StandardCharsets.ISO_8859_1)) {
+                for (String text = reader.readLine(); text != null; text = reader.readLine()) {
+                    int start = text.indexOf('{');
+                    if (start >= 0 && wanted.test(text)) {
+                        LogLine line = parse(text.substring(start));
+                        if (line != null) {
+                            lines.accept(line);
+                        }
+                    }
+                }
+            } catch (IOException e) {
+                throw new UsageException("cannot read " + file + ": " + e, e);
+            }
+        }
+    }
+
+    private LogLine parse(String text) {
+        try {
+            Map<String, Object> fields = JSON.readValue(text, FIELDS);
+            LogLine line = new LogLine(
+                    Instant.parse(String.valueOf(fields.get("time"))),
+                    String.valueOf(fields.get("node")),
+                    String.valueOf(fields.get("message")),
+                    fields.get("requestId") == null ? null : String.valueOf(fields.get("requestId")),
+                    fields);
+            fields.keySet().removeAll(NAMED);
+            return line;
+        } catch (JsonProcessingException | DateTimeException e) {
+            damaged++;
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/explain/RequestStory.java
@@ -0,0 +1,74 @@
+package io.jaywick.cli.explain;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the logs say of one request: its own lines, and for each node that wrote one the last things that it came to
+ * believe before. Memory is bounded, whatever the size of the logs.
+ */
+final class RequestStory {
+
+    /** A belief that is older than this did not change around the request. */
+    static final Duration BELIEF_WINDOW = Duration.ofSeconds(30);
+
+    /** Beliefs that are kept for each node. */
+    private static final int MAX_BELIEFS = 20;
+
+    /** A request has a few lines; a wrong id such as a common word must not fill the memory. */
+    private static final int MAX_EVENTS = 1_000;
+
+    private static final Comparator<LogLine> BY_TIME = Comparator.comparing(LogLine::time);
+
+    private final String requestId;
+    private final List<LogLine> events = new ArrayList<>();
+    private final Map<String, List<LogLine>> beliefs = new HashMap<>();
+    private final Map<String, Instant> lastByNode = new HashMap<>();
+
+    RequestStory(String requestId) {
+        this.requestId = requestId;
+    }
+
+    static RequestStory read(String requestId, LogLines logs) {
+        RequestStory story = new RequestStory(requestId);
+        logs.read(text -> text.contains(requestId), story::addEvent);
+        if (!story.events.isEmpty()) {
+            logs.read(text -> !text.contains(requestId) && !text.contains("\"requestId\""), story::addBelief);
+        }
+        return story;
+    }
+
+    private void addEvent(LogLine line) {
+        if (requestId.equals(line.requestId()) && events.size() < MAX_EVENTS) {
+            events.add(line);
+            lastByNode.merge(line.node(), line.time(), (a, b) -> a.isAfter(b) ? a : b);
+        }
+    }
+
+    private void addBelief(LogLine line) {
+        Instant last = lastByNode.get(line.node());
+        if (last == null || line.time().isAfter(last) || line.time().isBefore(last.minus(BELIEF_WINDOW))) {
+            return;
+        }
+        List<LogLine> kept = beliefs.computeIfAbsent(line.node(), node -> new ArrayList<>());
+        kept.add(line);
+        if (kept.size() > MAX_BELIEFS) {
+            kept.remove(kept.stream().min(BY_TIME).orElseThrow());
+        }
+    }
+
+    /** Lines of the request, oldest first. */
+    List<LogLine> events() {
+        return events.stream().sorted(BY_TIME).toList();
+    }
+
+    /** The last beliefs of a node before its last line of the request, oldest first. */
+    List<LogLine> beliefs(String node) {
+        return beliefs.getOrDefault(node, List.of()).stream().sorted(BY_TIME).toList();
+    }
+}
--- /dev/null
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/explain/ExplainCommandTestCase.java
@@ -0,0 +1,84 @@
+package io.jaywick.cli.explain;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+import io.jaywick.cli.CommandLineMain;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+class ExplainCommandTestCase {
+
+    @TempDir
+    Path directory;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private static String line(int second, String node, String message, String more) {
+        return String.format(
+                "{\"time\":\"2026-01-30T00:00:%02d.000Z\",\"level\":\"INFO\",\"message\":\"%s\",\"node\":\"%s\"%s}%n",
+                second, message, node, more);
+    }
+
+    private int explain(String... arguments) {
+        String[] all = new String[arguments.length + 1];
+        all[0] = "explain";
+        System.arraycopy(arguments, 0, all, 1, arguments.length);
+        return CommandLineMain.run(all, new PrintStream(out), new PrintStream(err));
+    }
+
+    private String write(String name, String text) throws IOException {
+        Path file = directory.resolve(name);
+        Files.writeString(file, text);
+        return file.toString();
+    }
+
+    /** Guards against a story that mixes requests or nodes, or loses lines that come in another order. */
+    @Test
+    void tellsTheStoryOfOneRequestOverManyFiles() throws IOException {
+        String first = write(
+                "a.log",
+                "  12.5 collector " + line(40, "a", "call failed", ",\"requestId\":\"r-1\",\"reason\":\"overloaded\"")
+                        + "{\"time\": damaged r-1\n"
+                        + line(39, "a", "target is down", "")
+                        + line(41, "a", "later belief", "")
+                        + line(2, "a", "old belief", "")
+                        + line(40, "a", "call failed", ",\"requestId\":\"r-12\""));
+        String second = write(
+                "b.log",
+                line(38, "b", "call is sent again", ",\"requestId\":\"r-1\"") + line(37, "c", "foreign belief", ""));
+        assertThat(explain("r-1", first, second), is(0));
+        String story = out.toString();
+        assertThat(story.indexOf("sent again") < story.indexOf("overloaded"), is(true));
+        assertThat(story, containsString("1.0 s earlier: target is down"));
+        assertThat(story, not(containsString("later belief")));
+        assertThat(story, not(containsString("old belief")));
+        assertThat(story, not(containsString("foreign belief")));
+        assertThat(err.toString(), containsString("1 lines could not be read"));
+    }
+
+    @Test
+    void printsJson() throws IOException {
+        String file = write("a.log", line(40, "a", "call failed", ",\"requestId\":\"r-1\""));
+        assertThat(explain("r-1", file, "--json"), is(0));
+        assertThat(out.toString(), containsString("\"message\":\"call failed\""));
+    }
+
+    /** Guards against an exit status that hides a wrong id or file from scripts. */
+    @Test
+    void unknownRequestsAndFilesHaveTheirOwnStatus() throws IOException {
+        String file = write("a.log", line(40, "a", "call failed", ",\"requestId\":\"r-1\""));
+        assertThat(explain("r-2", file), is(1));
+        assertThat(explain("r-1", file + ".none"), is(2));
+        assertThat(explain("r-1"), is(2));
+    }
+}
