Leave slots to the own region; estimate the wait from the work that waits

Cause: in a burst on all regions each region's spare slots were taken by calls of the others, which pay for bytes between regions. Change: trial calls of another region are refused above three quarters of the slots; the wait is the work of the calls that wait, over the slots.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
@@ -8,6 +8,7 @@
     final long objectiveNanos;
     final long deadlineNanos;
     final boolean trial;
+    final boolean foreign;
     State state = State.NEW;
     long startedNanos;
 
@@ -25,13 +26,16 @@
      * @param objectiveNanos monotonic moment until which an answer has its full value
      * @param deadlineNanos monotonic moment after which an answer has none
      * @param trial whether the call is refused when it would probably miss its objective
+     * @param foreign whether the call comes from another region
      */
-    protected GateCall(String route, int priority, long objectiveNanos, long deadlineNanos, boolean trial) {
+    protected GateCall(
+            String route, int priority, long objectiveNanos, long deadlineNanos, boolean trial, boolean foreign) {
         this.route = route;
         this.priority = priority;
         this.objectiveNanos = objectiveNanos;
         this.deadlineNanos = deadlineNanos;
         this.trial = trial;
+        this.foreign = foreign;
     }
 
     /** The call holds a slot until {@link TargetGate#ended}. */
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -15,6 +15,12 @@
     /** Slots assumed until the target's entry is known. */
     private static final int FIRST_SLOTS = 4;
 
+    /**
+     * Slots that trial calls of other regions may fill. In a burst on all regions each would otherwise take the others'
+     * calls and send its own away, over the links that are paid for.
+     */
+    private static final double FOREIGN_SHARE = 0.75;
+
     /** Memory bound of the queue; the deadlines of the calls keep it far shorter. */
     private static final int MAX_WAITING = 512;
 
@@ -69,11 +75,14 @@
             return GateRefusal.COLD;
         }
         double workMillis = times.millis(call.route);
-        double endNanos = now + (waitMillis(call, now) + workMillis) * NANOS_PER_MILLI;
+        double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
         // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
         if (call.trial && running > 0 && endNanos > call.objectiveNanos) {
             return isColdBudgetUsedUp(now) ? GateRefusal.COLD : GateRefusal.BUSY;
         }
+        if (call.trial && call.foreign && running + waiting.size() >= slots * FOREIGN_SHARE) {
+            return GateRefusal.BUSY;
+        }
         if (!free && (endNanos > call.deadlineNanos || waiting.size() >= MAX_WAITING)) {
             return GateRefusal.OVERLOADED;
         }
@@ -86,32 +95,21 @@
         return null;
     }
 
-    /** Expected wait in milliseconds of an average call of a priority that comes now. */
+    /**
+     * Expected wait in milliseconds of a call that comes now. Calls that are late already count as well: they are served
+     * later, but a queue that admits more for that reason holds them until their deadlines pass.
+     */
     public long waitMillis(int priority) {
-        double workMillis = 0;
+        if (running < slots && waiting.isEmpty()) {
+            return 0;
+        }
+        double workMillis = times.overallMillis();
         for (GateCall call : waiting) {
             if (call.priority <= priority) {
                 workMillis += times.millis(call.route);
             }
         }
-        return (long) Math.ceil(waitMillis(workMillis));
-    }
-
-    /** Expected wait of one call: only calls that would start before it count. */
-    private double waitMillis(GateCall call, long now) {
-        double workMillis = 0;
-        for (GateCall other : waiting) {
-            if (!comesBefore(call, other, now)) {
-                workMillis += times.millis(other.route);
-            }
-        }
-        return waitMillis(workMillis);
-    }
-
-    /** With all slots taken the next one is free after a slot's share of an average call. */
-    private double waitMillis(double workAheadMillis) {
-        boolean full = running >= slots;
-        return (workAheadMillis + (full ? times.overallMillis() : 0)) / slots;
+        return (long) Math.ceil(workMillis / slots);
     }
 
     /** The target has answered the call or lost it; its work counts for the estimates when it was answered. */
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -26,12 +26,17 @@
         private final String name;
 
         Call(String name, int priority, long objectiveMillis, long deadlineMillis, boolean trial) {
+            this(name, priority, objectiveMillis, deadlineMillis, trial, false);
+        }
+
+        Call(String name, int priority, long objectiveMillis, long deadlineMillis, boolean trial, boolean foreign) {
             super(
                     "route",
                     priority,
                     nanos.get() + TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
                     nanos.get() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
-                    trial);
+                    trial,
+                    foreign);
             this.name = name;
         }
 
@@ -102,15 +107,27 @@
         assertThat(gate.offer(new Call("last resort", 1, 60, 5_000, false)), nullValue());
     }
 
-    /** Pattern burst: calls that are late already do not turn away one that would overtake them and be in time. */
+    /** Pattern burst: a queue of calls that are late already takes no more of them than it can serve. */
     @Test
-    void lateCallsDoNotCountAsAheadOfOneInTime() {
+    void lateCallsCountInTheWait() {
         gate.setSlots(1);
         gate.offer(call("running"));
         for (int i = 0; i < 20; i++) {
             gate.offer(new Call("late " + i, 1, 1, 60_000, false));
         }
-        assertThat(gate.offer(new Call("in time", 1, 400, 5_000, true)), nullValue());
+        assertThat(gate.offer(new Call("hopeless", 1, 400, 800, false)), is(GateRefusal.OVERLOADED));
+    }
+
+    /** Pattern burst on all regions: a region keeps its own slots instead of swapping calls with the others. */
+    @Test
+    void foreignTrialsLeaveSlotsForTheOwnRegion() {
+        gate.setSlots(4);
+        for (int i = 0; i < 3; i++) {
+            assertThat(gate.offer(new Call("foreign " + i, 1, 1_000, 5_000, true, true)), nullValue());
+        }
+        assertThat(gate.offer(new Call("foreign", 1, 1_000, 5_000, true, true)), is(GateRefusal.BUSY));
+        assertThat(gate.offer(new Call("own", 1, 1_000, 5_000, true, false)), nullValue());
+        assertThat(gate.offer(new Call("last resort", 1, 1_000, 5_000, false, true)), nullValue());
     }
 
     /** Guards against a slow target that is avoided for ever because nobody sees that it has recovered. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -236,7 +236,8 @@
                     call.priority(),
                     nanoTime.getAsLong() + call.objectiveMillis() * NANOS_PER_MILLI,
                     nanoTime.getAsLong() + call.remainingMillis() * NANOS_PER_MILLI,
-                    call.trial());
+                    call.trial(),
+                    call.foreign());
             this.call = call;
             this.done = done;
             this.deadlineNanos = nanoTime.getAsLong() + call.remainingMillis() * NANOS_PER_MILLI;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -11,6 +11,7 @@
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.placement.Distance;
 import io.jaywick.core.rules.RouteRule;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -187,7 +188,8 @@
                 route.priority(),
                 route.objectiveMillis() - elapsedMillis,
                 remainingMillis(),
-                trial);
+                trial,
+                calls.placement().distance(instance) == Distance.OTHER_REGION);
         calls.placement().started(instance.id());
         Offer offer = new Offer(instance);
         PendingCall sent = calls.targetOf(instance).call(call, offer::ended);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -98,6 +98,7 @@
                 0,
                 TIMEOUT_MILLIS,
                 TIMEOUT_MILLIS,
+                false,
                 false);
         pool.send(check, () -> TIMEOUT_MILLIS, this::answered);
     }
