--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientListener.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientListener.java
@@ -4,18 +4,15 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
-import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.rules.CallerLimits;
+import io.jaywick.node.settings.SocketAddressParser;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 
@@ -26,29 +23,16 @@
     private static final int BACKLOG = 1_024;
 
     private final OutboundCalls calls;
-    private final Supplier<FleetView> fleet;
-    private final HeaderNames names;
-    private final LongSupplier nanoTime;
-    private final RelayLog log;
+    private final RelayContext context;
     private final Set<ClientConnection> open = new HashSet<>();
     private final Channel channel;
     private boolean leaving;
 
-    ClientListener(
-            EventLoopGroup loop,
-            InetSocketAddress address,
-            OutboundCalls calls,
-            Supplier<FleetView> fleet,
-            HeaderNames names,
-            LongSupplier nanoTime,
-            RelayLog log) {
+    ClientListener(RelayContext context, OutboundCalls calls) {
+        this.context = context;
         this.calls = calls;
-        this.fleet = fleet;
-        this.names = names;
-        this.nanoTime = nanoTime;
-        this.log = log;
         this.channel = new ServerBootstrap()
-                .group(loop)
+                .group(context.runtime().loop())
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -65,7 +49,7 @@
                                         connection);
                     }
                 })
-                .bind(address)
+                .bind(SocketAddressParser.parse(context.settings().outboundAddress()))
                 .syncUninterruptibly()
                 .channel();
     }
@@ -94,23 +78,23 @@
     }
 
     CallerLimits limits() {
-        return fleet.get().rules().callerLimits();
+        return context.fleet().get().rules().callerLimits();
     }
 
     HeaderNames names() {
-        return names;
+        return context.names();
     }
 
     long nanoTime() {
-        return nanoTime.getAsLong();
+        return context.nanoTime();
     }
 
     RelayLog log() {
-        return log;
+        return context.log();
     }
 
     void rejected(String reason) {
-        log.call("request rejected", "reason", reason);
+        context.log().call("request rejected", "reason", reason);
     }
 
     void opened(ClientConnection connection) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -2,8 +2,6 @@
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
@@ -12,7 +10,6 @@
 import io.jaywick.core.gate.TargetGate;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.rules.ServiceRule;
-import io.netty.channel.EventLoop;
 
 /**
  * The target beside the node. Every call to it, from any node, passes here, so that its slots, its cold budget and its
@@ -25,41 +22,20 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    private final RelaySettings settings;
-    private final Supplier<FleetView> fleet;
+    private final RelayContext context;
     private final TargetGate gate;
     private final TargetPool pool;
-    private final LongSupplier nanoTime;
-    private final RelayLog log;
     private final TargetHealth health;
     private Instance current;
-    private final EventLoop loop;
     private boolean watching;
     private boolean evacuated;
     private boolean leaving;
 
-    LocalTarget(
-            RelaySettings settings,
-            Supplier<FleetView> fleet,
-            TargetPool pool,
-            EventLoop loop,
-            LongSupplier nanoTime,
-            RelayLog log) {
-        this.settings = settings;
-        this.fleet = fleet;
-        this.gate = new TargetGate(nanoTime);
+    LocalTarget(RelayContext context, TargetPool pool) {
+        this.context = context;
+        this.gate = new TargetGate(context.runtime().nanoTime());
         this.pool = pool;
-        this.nanoTime = nanoTime;
-        this.log = log;
-        this.loop = loop;
-        this.health = new TargetHealth(
-                pool,
-                () -> fleet.get().rules().service(settings.service()),
-                settings.targetAddress(),
-                loop,
-                nanoTime,
-                millis -> turnCold(millis, "health"),
-                log);
+        this.health = new TargetHealth(context, pool, millis -> turnCold(millis, "health"));
     }
 
     /** Refuses further calls; those that wait or run go on. */
@@ -83,32 +59,34 @@
     private void watchQueue() {
         if (!watching && gate.waiting() > 0) {
             watching = true;
-            loop.schedule(
-                    () -> {
-                        watching = false;
-                        gate.pump();
-                        watchQueue();
-                    },
-                    QUEUE_INTERVAL_MILLIS,
-                    TimeUnit.MILLISECONDS);
+            context.runtime()
+                    .loop()
+                    .schedule(
+                            () -> {
+                                watching = false;
+                                gate.pump();
+                                watchQueue();
+                            },
+                            QUEUE_INTERVAL_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     /** Takes over what a new view says of the target. */
     void viewChanged() {
-        FleetView view = fleet.get();
+        FleetView view = context.fleet().get();
         Instance known = listed(view);
-        boolean out = view.isEvacuated(settings.dataCentre());
+        boolean out = view.isEvacuated(context.settings().dataCentre());
         if (evacuated && !out) {
             // The target may have turned cold meanwhile, and its entry lags.
-            ServiceRule rule = view.rules().service(settings.service());
+            ServiceRule rule = view.rules().service(context.settings().service());
             turnCold(rule == null ? 0 : rule.coldStartMillis(), "evacuation over");
             health.doubt();
         }
         evacuated = out;
         if (known == null) {
             if (current != null) {
-                log.change("target beside this node is no longer listed", "instance", current.id());
+                context.log().change("target beside this node is no longer listed", "instance", current.id());
                 current = null;
                 gate.refuseWaiting(GateRefusal.LEAVING);
             }
@@ -128,21 +106,22 @@
         boolean first = current == null;
         current = known;
         gate.setSlots(known.slots());
-        long coldMillis = known.coldMillis(nanoTime.getAsLong());
+        long coldMillis = known.coldMillis(context.nanoTime());
         if (coldMillis > 0) {
             turnCold(coldMillis, "listed");
         }
         if (another) {
-            log.change(
-                    "target beside this node",
-                    "instance",
-                    known.id(),
-                    "slots",
-                    known.slots(),
-                    "coldMillis",
-                    coldMillis,
-                    "draining",
-                    known.draining());
+            context.log()
+                    .change(
+                            "target beside this node",
+                            "instance",
+                            known.id(),
+                            "slots",
+                            known.slots(),
+                            "coldMillis",
+                            coldMillis,
+                            "draining",
+                            known.draining());
         }
         if (first) {
             health.doubt();
@@ -152,8 +131,9 @@
     /** The entry of the target at the address; of several that of the instance which answered there, or the newest. */
     private Instance listed(FleetView view) {
         Instance best = null;
-        for (Instance instance : view.instancesOf(settings.service())) {
-            if (instance.address().equals(settings.targetAddress()) && (best == null || isPreferred(instance, best))) {
+        for (Instance instance : view.instancesOf(context.settings().service())) {
+            if (instance.address().equals(context.settings().targetAddress())
+                    && (best == null || isPreferred(instance, best))) {
                 best = instance;
             }
         }
@@ -172,16 +152,25 @@
     }
 
     private void turnCold(long millis, String cause) {
-        ServiceRule rule = fleet.get().rules().service(settings.service());
+        ServiceRule rule =
+                context.fleet().get().rules().service(context.settings().service());
         if (rule == null || rule.coldCallsPerSecond() <= 0) {
             return;
         }
         if (millis <= 0) {
-            gate.setCold(nanoTime.getAsLong(), 0);
+            gate.setCold(context.nanoTime(), 0);
             return;
         }
-        gate.setCold(nanoTime.getAsLong() + millis * NANOS_PER_MILLI, rule.coldCallsPerSecond());
-        log.change("target is cold", "cause", cause, "forMillis", millis, "callsPerSecond", rule.coldCallsPerSecond());
+        gate.setCold(context.nanoTime() + millis * NANOS_PER_MILLI, rule.coldCallsPerSecond());
+        context.log()
+                .change(
+                        "target is cold",
+                        "cause",
+                        cause,
+                        "forMillis",
+                        millis,
+                        "callsPerSecond",
+                        rule.coldCallsPerSecond());
     }
 
     @Override
@@ -199,7 +188,7 @@
     }
 
     private GateRefusal refusal(ForwardCall call) {
-        FleetView view = fleet.get();
+        FleetView view = context.fleet().get();
         Instance chosen = view.instance(call.instanceId());
         if (chosen == null
                 || current == null
@@ -234,17 +223,17 @@
             super(
                     call.route(),
                     call.priority(),
-                    nanoTime.getAsLong() + call.objectiveMillis() * NANOS_PER_MILLI,
-                    nanoTime.getAsLong() + call.remainingMillis() * NANOS_PER_MILLI,
+                    context.nanoTime() + call.objectiveMillis() * NANOS_PER_MILLI,
+                    context.nanoTime() + call.remainingMillis() * NANOS_PER_MILLI,
                     call.trial(),
                     call.foreign());
             this.call = call;
             this.done = done;
-            this.deadlineNanos = nanoTime.getAsLong() + call.remainingMillis() * NANOS_PER_MILLI;
+            this.deadlineNanos = context.nanoTime() + call.remainingMillis() * NANOS_PER_MILLI;
         }
 
         private long remainingMillis() {
-            return (deadlineNanos - nanoTime.getAsLong()) / NANOS_PER_MILLI;
+            return (deadlineNanos - context.nanoTime()) / NANOS_PER_MILLI;
         }
 
         @Override
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -68,7 +68,7 @@
         this.calls = calls;
         this.request = request;
         this.done = done;
-        this.requestId = request.headers().get(calls.names().requestId());
+        this.requestId = request.headers().get(calls.context().names().requestId());
     }
 
     void start() {
@@ -91,19 +91,21 @@
             end(ClientAnswer.own(ClientAnswer.NOT_FOUND, "no-route", 0));
             return;
         }
-        long allowedMillis =
-                Math.min(request.millis(calls.names().deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
+        long allowedMillis = Math.min(
+                request.millis(calls.context().names().deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
         deadlineNanos = request.receivedNanos() + allowedMillis * NANOS_PER_MILLI;
         service = calls.chooseService(route);
         calls.retries().countFirst(service);
         headers = forwardedHeaders();
-        timeout = calls.loop()
+        timeout = calls.context()
+                .runtime()
+                .loop()
                 .schedule(this::deadlinePassed, remainingMillis() + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
         next();
     }
 
     private List<String> forwardedHeaders() {
-        HeaderNames names = calls.names();
+        HeaderNames names = calls.context().names();
         List<String> copy = HopHeaders.copy(
                 request.headers(),
                 Set.of(
@@ -112,12 +114,12 @@
                         names.deadlineMillis().toLowerCase(Locale.ROOT)));
         List<String> forwarded = new ArrayList<>(copy);
         forwarded.add(names.callerService());
-        forwarded.add(calls.settings().service());
+        forwarded.add(calls.context().settings().service());
         return forwarded;
     }
 
     private long remainingMillis() {
-        return (deadlineNanos - calls.nanoTime().getAsLong()) / NANOS_PER_MILLI;
+        return (deadlineNanos - calls.context().nanoTime()) / NANOS_PER_MILLI;
     }
 
     /** Sends the call to the next instance, or ends it when there is none. */
@@ -173,7 +175,7 @@
     }
 
     private void offer(Instance instance, boolean trial) {
-        long elapsedMillis = (calls.nanoTime().getAsLong() - request.receivedNanos()) / NANOS_PER_MILLI;
+        long elapsedMillis = (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
         ForwardCall call = new ForwardCall(
                 calls.nextCallId(),
                 requestId,
@@ -322,7 +324,7 @@
                 && mayTryAgain()
                 && calls.retries().tryTake(service, calls.nodes());
         if (allowed) {
-            calls.log().call("call is sent again", "requestId", requestId, "reason", result.reason());
+            calls.context().log().call("call is sent again", "requestId", requestId, "reason", result.reason());
             next();
         } else {
             end(failure(result.reason()));
@@ -341,7 +343,7 @@
         endReason = reason;
         long waitMillis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, leastWaitMillis));
         // Callers that were refused together must not come back together.
-        long spreadMillis = calls.random().nextLong(waitMillis / 2 + 1);
+        long spreadMillis = calls.context().runtime().random().nextLong(waitMillis / 2 + 1);
         return ClientAnswer.own(ClientAnswer.UNAVAILABLE, reason, waitMillis + spreadMillis);
     }
 
@@ -373,10 +375,11 @@
             return;
         }
         finish();
-        long millis = (calls.nanoTime().getAsLong() - request.receivedNanos()) / NANOS_PER_MILLI;
+        long millis = (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
         calls.meters().answered(route == null ? "" : route.name(), answer.status(), millis);
         if (answer.status() >= STATUS_SERVER_FAILURE) {
-            calls.log()
+            calls.context()
+                    .log()
                     .call(
                             "call failed",
                             "requestId",
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -5,9 +5,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
-import java.util.random.RandomGenerator;
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
@@ -17,22 +14,15 @@
 import io.jaywick.core.routing.SmoothWeights;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.ServiceWeight;
-import io.netty.channel.EventLoop;
 
 /** What all calls of the callers beside one node share. */
 final class OutboundCalls {
 
-    private final RelaySettings settings;
-    private final HeaderNames names;
-    private final Supplier<FleetView> fleet;
+    private final RelayContext context;
     private final Placement placement;
     private final FleetRetryBudget retries;
     private final CallTarget local;
     private final PeerCalls peers;
-    private final EventLoop loop;
-    private final LongSupplier nanoTime;
-    private final RandomGenerator random;
-    private final RelayLog log;
     private final RelayMeters meters;
     private final Map<String, SmoothWeights<ServiceWeight>> weights = new HashMap<>();
     private final int peerPort;
@@ -41,30 +31,18 @@
     private int nodes = 1;
     private long lastCallNumber;
 
-    OutboundCalls(
-            RelaySettings settings,
-            HeaderNames names,
-            Supplier<FleetView> fleet,
-            Placement placement,
-            CallTarget local,
-            PeerCalls peers,
-            EventLoop loop,
-            LongSupplier nanoTime,
-            RandomGenerator random,
-            RelayLog log,
-            RelayMeters meters) {
-        this.settings = settings;
-        this.names = names;
-        this.fleet = fleet;
+    OutboundCalls(RelayContext context, Placement placement, CallTarget local, PeerCalls peers, RelayMeters meters) {
+        RelaySettings settings = context.settings();
+        this.context = context;
         this.placement = placement;
         this.retries = new FleetRetryBudget(
-                settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMillis(), nanoTime, random);
+                settings.retryRatio(),
+                settings.retryAllowance(),
+                settings.retryWindowMillis(),
+                context.runtime().nanoTime(),
+                context.runtime().random());
         this.local = local;
         this.peers = peers;
-        this.loop = loop;
-        this.nanoTime = nanoTime;
-        this.random = random;
-        this.log = log;
         this.meters = meters;
         this.peerPort = Integer.parseInt(
                 settings.peerAddress().substring(settings.peerAddress().lastIndexOf(':') + 1));
@@ -81,7 +59,7 @@
     void viewChanged() {
         Set<String> ids = new HashSet<>();
         Set<String> hosts = new HashSet<>();
-        for (Instance instance : fleet.get().instances()) {
+        for (Instance instance : context.fleet().get().instances()) {
             ids.add(instance.id());
             hosts.add(instance.host());
         }
@@ -93,7 +71,10 @@
         return weights.computeIfAbsent(
                         route.name(),
                         name -> new SmoothWeights<>(
-                                route.services(), ServiceWeight::service, ServiceWeight::weight, random))
+                                route.services(),
+                                ServiceWeight::service,
+                                ServiceWeight::weight,
+                                context.runtime().random()))
                 .choose(route.services())
                 .service();
     }
@@ -106,7 +87,7 @@
 
     String nextCallId() {
         lastCallNumber++;
-        return settings.host() + "-" + lastCallNumber;
+        return context.settings().host() + "-" + lastCallNumber;
     }
 
     /** From now on new calls are refused as not run. */
@@ -134,16 +115,12 @@
         return nodes;
     }
 
-    RelaySettings settings() {
-        return settings;
-    }
-
-    HeaderNames names() {
-        return names;
+    RelayContext context() {
+        return context;
     }
 
     FleetView fleet() {
-        return fleet.get();
+        return context.fleet().get();
     }
 
     Placement placement() {
@@ -154,22 +131,6 @@
         return retries;
     }
 
-    EventLoop loop() {
-        return loop;
-    }
-
-    LongSupplier nanoTime() {
-        return nanoTime;
-    }
-
-    RandomGenerator random() {
-        return random;
-    }
-
-    RelayLog log() {
-        return log;
-    }
-
     RelayMeters meters() {
         return meters;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -25,7 +24,6 @@
 import io.jaywick.node.settings.SocketAddressParser;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
-import io.netty.channel.EventLoopGroup;
 import reactor.core.publisher.Mono;
 import reactor.netty.DisposableServer;
 import reactor.netty.http.server.HttpServer;
@@ -92,27 +90,22 @@
     private volatile boolean leaving;
     private long leaveStartNanos;
 
-    public Relay(
-            RelaySettings settings,
-            HeaderNames names,
-            LoopResources loops,
-            LongSupplier nanoTime,
-            Random random,
-            PrometheusMeterRegistry registry,
-            RelayLog log) {
+    public Relay(RelaySettings settings, HeaderNames names, NodeRuntime runtime, PrometheusMeterRegistry registry) {
+        requireAddresses(settings);
+        RelayContext context = new RelayContext(settings, names, () -> view, runtime);
+        LoopResources loops = runtime.loops();
         this.settings = settings;
-        this.log = log;
-        this.nanoTime = nanoTime;
-        EventLoopGroup group = loops.onServer(false);
-        this.loop = group.next();
+        this.log = runtime.log();
+        this.nanoTime = runtime.nanoTime();
+        this.loop = runtime.loop();
         MessageHandlers handlers = new MessageHandlers();
         FrameCodec codec = new FrameCodec();
         PeerTraffic traffic = new PeerTraffic();
         LinkLimits limits = new LinkLimits(
                 QUEUE_FRAMES, CONNECT_MILLIS, REPLY_MILLIS, IDLE_MILLIS, PING_MILLIS, MAX_BACKOFF_MILLIS);
-        this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, random);
-        this.pool = new TargetPool(group, address(settings.targetAddress()), names, nanoTime, log);
-        this.local = new LocalTarget(settings, () -> view, pool, loop, nanoTime, log);
+        this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, runtime.random());
+        this.pool = new TargetPool(context);
+        this.local = new LocalTarget(context, pool);
         this.peers = new PeerCalls(link, local, log);
         peers.register(handlers);
         handlers.register(
@@ -125,25 +118,18 @@
                 settings.region(),
                 settings.regionByDataCentre(),
                 nanoTime,
-                random);
+                runtime.random());
         this.source = new SourceExchange(
-                link, () -> view, placement, address(settings.peerAddress()).getPort(), settings.seedHosts(), random);
-        source.answer(handlers, query -> known == null ? null : known.apply(query));
-        this.calls = new OutboundCalls(
-                settings,
-                names,
+                link,
                 () -> view,
                 placement,
-                local,
-                peers,
-                loop,
-                nanoTime,
-                random,
-                log,
-                new RelayMeters(registry));
+                address(settings.peerAddress()).getPort(),
+                settings.seedHosts(),
+                runtime.random());
+        source.answer(handlers, query -> known == null ? null : known.apply(query));
+        this.calls = new OutboundCalls(context, placement, local, peers, new RelayMeters(registry));
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
-        this.clients =
-                new ClientListener(group, address(settings.outboundAddress()), calls, () -> view, names, nanoTime, log);
+        this.clients = new ClientListener(context, calls);
         this.ready = HttpServer.create()
                 .runOn(loops, false)
                 .bindAddress(() -> address(settings.readyAddress()))
@@ -165,6 +151,11 @@
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
 
+    private static void requireAddresses(RelaySettings settings) {
+        address(settings.targetAddress());
+        address(settings.outboundAddress());
+    }
+
     private static InetSocketAddress address(String text) {
         InetSocketAddress address = SocketAddressParser.parse(text);
         if (address == null) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -3,12 +3,9 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
-import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.rules.ServiceRule;
-import io.netty.channel.EventLoop;
 
 /**
  * Asks the target for its health, only when there is a reason to doubt what the node believes: after the node's start,
@@ -25,32 +22,26 @@
 
     private static final byte[] NO_BODY = new byte[0];
 
+    private final RelayContext context;
     private final TargetPool pool;
-    private final Supplier<ServiceRule> rule;
-    private final String host;
-    private final EventLoop loop;
-    private final LongSupplier nanoTime;
     private final LongConsumer coldMillis;
-    private final RelayLog log;
     private boolean asking;
     private boolean down;
     private long downSinceNanos;
 
-    TargetHealth(
-            TargetPool pool,
-            Supplier<ServiceRule> rule,
-            String host,
-            EventLoop loop,
-            LongSupplier nanoTime,
-            LongConsumer coldMillis,
-            RelayLog log) {
+    /**
+     * Makes the check of the target behind a pool.
+     *
+     * @param coldMillis is told how long the target stays cold
+     */
+    TargetHealth(RelayContext context, TargetPool pool, LongConsumer coldMillis) {
+        this.context = context;
         this.pool = pool;
-        this.rule = rule;
-        this.host = host;
-        this.loop = loop;
-        this.nanoTime = nanoTime;
         this.coldMillis = coldMillis;
-        this.log = log;
+    }
+
+    private ServiceRule rule() {
+        return context.fleet().get().rules().service(context.settings().service());
     }
 
     /** Whether the last attempt to connect failed; calls are refused at once until a check succeeds. */
@@ -72,14 +63,14 @@
 
     /** Asks the target soon, unless that is under way. */
     void doubt() {
-        if (!asking && rule.get() != null) {
+        if (!asking && rule() != null) {
             asking = true;
-            loop.schedule(this::ask, down ? MIN_INTERVAL_MILLIS : 0, TimeUnit.MILLISECONDS);
+            context.runtime().loop().schedule(this::ask, down ? MIN_INTERVAL_MILLIS : 0, TimeUnit.MILLISECONDS);
         }
     }
 
     private void ask() {
-        ServiceRule service = rule.get();
+        ServiceRule service = rule();
         if (service == null) {
             asking = false;
             return;
@@ -89,7 +80,7 @@
                 "",
                 "GET",
                 service.healthPath(),
-                List.of("Host", host),
+                List.of("Host", context.settings().targetAddress()),
                 NO_BODY,
                 service.name(),
                 "",
@@ -104,14 +95,14 @@
     }
 
     private void answered(CallResult result) {
-        loop.schedule(() -> asking = false, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        context.runtime().loop().schedule(() -> asking = false, MIN_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         if (result.reason().equals("target-down")) {
             wentDown();
-            loop.schedule(this::doubt, MIN_INTERVAL_MILLIS + 1, TimeUnit.MILLISECONDS);
+            context.runtime().loop().schedule(this::doubt, MIN_INTERVAL_MILLIS + 1, TimeUnit.MILLISECONDS);
             return;
         }
         if (result.outcome() != CallResult.Outcome.ANSWERED) {
-            log.change("target's health is unknown", "reason", result.reason());
+            context.log().change("target's health is unknown", "reason", result.reason());
             return;
         }
         cameBack();
@@ -121,7 +112,7 @@
             try {
                 coldMillis.accept(Long.parseLong(cold.trim()));
             } catch (NumberFormatException e) {
-                log.warning("unreadable cold time in a health answer", "value", cold);
+                context.log().warning("unreadable cold time in a health answer", "value", cold);
             }
         }
     }
@@ -129,16 +120,16 @@
     private void wentDown() {
         if (!down) {
             down = true;
-            downSinceNanos = nanoTime.getAsLong();
-            log.change("target is down");
+            downSinceNanos = context.nanoTime();
+            context.log().change("target is down");
         }
     }
 
     private void cameBack() {
         if (down) {
             down = false;
-            long millis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - downSinceNanos);
-            log.change("target is back", "downMillis", millis);
+            long millis = TimeUnit.NANOSECONDS.toMillis(context.nanoTime() - downSinceNanos);
+            context.log().change("target is back", "downMillis", millis);
         }
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -1,18 +1,17 @@
 package io.jaywick.node.relay;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.function.LongSupplier;
 
 import io.jaywick.core.message.ForwardCall;
+import io.jaywick.node.settings.SocketAddressParser;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -33,19 +32,15 @@
     private static final int KEEPALIVE_PROBES = 2;
 
     private final Bootstrap bootstrap;
-    private final HeaderNames names;
-    private final LongSupplier nanoTime;
-    private final RelayLog log;
+    private final RelayContext context;
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> open = new HashSet<>();
     private String observedInstance;
 
-    TargetPool(EventLoopGroup loop, InetSocketAddress address, HeaderNames names, LongSupplier nanoTime, RelayLog log) {
-        this.names = names;
-        this.nanoTime = nanoTime;
-        this.log = log;
+    TargetPool(RelayContext context) {
+        this.context = context;
         this.bootstrap = new Bootstrap()
-                .group(loop)
+                .group(context.runtime().loop())
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
@@ -53,7 +48,7 @@
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_SECONDS)
                 .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEPALIVE_PROBES)
-                .remoteAddress(address)
+                .remoteAddress(SocketAddressParser.parse(context.settings().targetAddress()))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
@@ -150,7 +145,7 @@
     void observedInstance(String id) {
         if (id != null && !id.equals(observedInstance)) {
             observedInstance = id;
-            log.change("instance observed at the target's address", "instance", id);
+            context.log().change("instance observed at the target's address", "instance", id);
         }
     }
 
@@ -164,15 +159,15 @@
     }
 
     HeaderNames names() {
-        return names;
+        return context.names();
     }
 
     RelayLog log() {
-        return log;
+        return context.log();
     }
 
     long nanoTime() {
-        return nanoTime.getAsLong();
+        return context.nanoTime();
     }
 
     @Override
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 
 import io.jaywick.core.fleet.FleetView;
@@ -21,7 +20,6 @@
 import io.jaywick.core.rules.ServiceWeight;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
-import reactor.netty.resources.LoopResources;
 
 /** Two nodes on different loopback addresses, a target beside the second, and a caller beside the first. */
 final class RelayFixture implements AutoCloseable {
@@ -37,7 +35,8 @@
     final FakeTarget target;
     final Relay caller;
     final Relay other;
-    private final LoopResources loops = LoopResources.create("test-relay", 1, true);
+    private RuleSet published;
+    private final NodeRuntime runtime = NodeRuntime.start(System.getLogger("test"), true);
 
     RelayFixture() throws IOException {
         target = new FakeTarget();
@@ -68,14 +67,7 @@
                 100,
                 10_000,
                 2_000);
-        return new Relay(
-                settings,
-                NAMES,
-                loops,
-                System::nanoTime,
-                new Random(5),
-                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT),
-                new RelayLog(System.getLogger("test"), System::nanoTime));
+        return new Relay(settings, NAMES, runtime, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     }
 
     /** Lets both nodes believe that the target serves two routes, one of them idempotent, with the given timeout. */
@@ -96,14 +88,23 @@
         }
         RuleSet rules =
                 new RuleSet(1, routes, List.of(new ServiceRule("other-service", "/health", 100, 3_000, 0)), LIMITS);
-        Instance instance = new Instance(
-                "i-1", "other-service", target.address(), "dc", "v1", 4, false, 0, 1, 0, System.nanoTime());
-        FleetView view = new FleetView(rules, List.of(instance), Set.of());
+        published = rules;
+        FleetView view = new FleetView(rules, List.of(instance(false)), Set.of());
         caller.adopt(view);
         other.adopt(view);
         // The first call finds the views adopted, because both run on the loop before it.
     }
 
+    /** Only the node beside the target learns that it is about to leave. */
+    void drainAtTarget() {
+        other.adopt(new FleetView(published, List.of(instance(true)), Set.of()));
+    }
+
+    private Instance instance(boolean draining) {
+        return new Instance(
+                "i-1", "other-service", target.address(), "dc", "v1", 4, draining, 0, 1, 0, System.nanoTime());
+    }
+
     /** Sends raw bytes to the caller's node and returns all that comes back until it closes. */
     String exchange(String bytes) throws IOException {
         try (Socket socket = connect()) {
@@ -130,6 +131,6 @@
         caller.close();
         other.close();
         target.close();
-        loops.dispose();
+        runtime.loops().dispose();
     }
 }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -269,4 +269,24 @@
         }
         fixture.other.leave().get(20, TimeUnit.SECONDS);
     }
+
+    /** Guards against calls taken shortly before the end of a node, which would be cut by it. */
+    @Test
+    void leavingNodeRefusesItsOwnCallersBeforeItEnds() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(call("GET", "/safe/1", "a", ""), startsWith("HTTP/1.1 200 "));
+        fixture.caller.leave().get(20, TimeUnit.SECONDS);
+        String answer = call("GET", "/safe/2", "b", "");
+        assertThat(answer, startsWith("HTTP/1.1 503 "));
+        assertThat(answer, containsString("node-leaves"));
+    }
+
+    /** Guards against a node that sends calls to a data centre or a server that leaves, whoever still believes in it. */
+    @Test
+    void nodeBesideALeavingInstanceHasTheLastWord() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.drainAtTarget();
+        assertThat(call("GET", "/safe/1", "a", ""), startsWith("HTTP/1.1 503 "));
+        assertThat(fixture.target.calls(), hasSize(0));
+    }
 }
