Keep calls at a free slot unless the target is clearly slow

The estimate of a route followed single long calls, and a trial call was refused though a slot was free. Change: a single call counts at most three times the average; a free slot refuses only calls that would take twice their objective; an unreachable instance is tried again after one second at the latest, and an attempt to connect ends after half a second, because dark machines are back in less. Figures: oneLongCallDoesNotCloseAFreeSlot failed before and passes; slowTargetIsSeenAfterAFewCalls passes with both.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/ServiceTimes.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/ServiceTimes.java
@@ -9,6 +9,12 @@
     /** An average follows the last ten calls or so. */
     private static final double WEIGHT_OF_NEWEST = 0.1;
 
+    /**
+     * A single call counts at most this many times the average, so that one long call does not send the next ones away;
+     * a target that turned slow is followed after a few calls all the same.
+     */
+    private static final double MAX_FACTOR = 3;
+
     /** Assumed before the first call has ended. */
     private static final double FIRST_MILLIS = 50;
 
@@ -19,8 +25,12 @@
 
     void observe(String route, long nanos) {
         double millis = nanos / NANOS_PER_MILLI;
-        millisByRoute.merge(route, millis, (old, newest) -> old + WEIGHT_OF_NEWEST * (newest - old));
-        overallMillis += WEIGHT_OF_NEWEST * (millis - overallMillis);
+        millisByRoute.merge(route, millis, ServiceTimes::follow);
+        overallMillis = follow(overallMillis, millis);
+    }
+
+    private static double follow(double average, double newest) {
+        return average + WEIGHT_OF_NEWEST * (Math.min(newest, MAX_FACTOR * average) - average);
     }
 
     double overallMillis() {
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -21,6 +21,12 @@
      */
     private static final double FOREIGN_SHARE = 0.75;
 
+    /**
+     * A free slot is refused only when the call would take twice its objective. Estimates are rough, and a call that is
+     * a little late here costs less than one that travels to another region.
+     */
+    private static final double FREE_SLOT_TOLERANCE = 1.0;
+
     /** Memory bound of the queue; the deadlines of the calls keep it far shorter. */
     private static final int MAX_WAITING = 512;
 
@@ -76,8 +82,9 @@
         }
         double workMillis = times.millis(call.route);
         double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
+        double tolerated = call.objectiveNanos + (free ? FREE_SLOT_TOLERANCE * (call.objectiveNanos - now) : 0);
         // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
-        if (call.trial && running > 0 && endNanos > call.objectiveNanos) {
+        if (call.trial && running > 0 && endNanos > tolerated) {
             return isColdBudgetUsedUp(now) ? GateRefusal.COLD : GateRefusal.BUSY;
         }
         if (call.trial && call.foreign && running + waiting.size() >= slots * FOREIGN_SHARE) {
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -10,7 +10,7 @@
     private static final long FIRST_AVOID_MILLIS = 100;
 
     /** Longest time that an instance is left out; an instance that returns gets calls within this time. */
-    private static final long MAX_AVOID_MILLIS = 2_000;
+    private static final long MAX_AVOID_MILLIS = 1_000;
 
     private static final double NANOS_PER_MILLI = 1_000_000;
 
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -130,6 +130,34 @@
         assertThat(gate.offer(new Call("last resort", 1, 1_000, 5_000, false, true)), nullValue());
     }
 
+    /** Pattern quiet day: one long call among short ones does not send the next calls to another region. */
+    @Test
+    void oneLongCallDoesNotCloseAFreeSlot() {
+        gate.setSlots(4);
+        for (int i = 0; i < 50; i++) {
+            Call call = call("short");
+            gate.offer(call);
+            pass(i == 49 ? 2_000 : 90);
+            gate.ended(call, true);
+        }
+        gate.offer(call("running"));
+        assertThat(gate.offer(new Call("trial", 1, 110, 800, true)), nullValue());
+    }
+
+    /** Pattern srv_slow: a target that turned slow sends trial calls away after a few calls. */
+    @Test
+    void slowTargetIsSeenAfterAFewCalls() {
+        gate.setSlots(4);
+        for (int i = 0; i < 50; i++) {
+            Call call = call("short");
+            gate.offer(call);
+            pass(i < 30 ? 90 : 450);
+            gate.ended(call, true);
+        }
+        gate.offer(call("running"));
+        assertThat(gate.offer(new Call("trial", 1, 110, 800, true)), is(GateRefusal.BUSY));
+    }
+
     /** Guards against a slow target that is avoided for ever because nobody sees that it has recovered. */
     @Test
     void idleTargetTakesATrialThoughItWasSlow() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -38,7 +38,8 @@
     /** Frames that may wait for one peer; a call and its answer are one frame each. */
     private static final int QUEUE_FRAMES = 2_048;
 
-    private static final int CONNECT_MILLIS = 1_000;
+    /** Far nodes answer in tens of milliseconds; calls wait behind an attempt to reach a dark one. */
+    private static final int CONNECT_MILLIS = 500;
 
     /** Calls have deadlines of their own; this only ends what a peer forgot. */
     private static final long REPLY_MILLIS = 120_000;
