--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -52,7 +52,7 @@
     private String service;
     private long deadlineNanos;
     private List<String> headers = List.of();
-    private final StringBuilder history = new StringBuilder();
+    private final CallHistory history = new CallHistory();
     private int trials;
     private int lastResorts;
     private int arrivals;
@@ -237,7 +237,7 @@
             return;
         }
         calls.meters().attempt(result.outcome(), result.reason());
-        note(instance, result);
+        history.add(instance.id(), result);
         switch (result.outcome()) {
             case ANSWERED -> answered(instance, result);
             case REFUSED -> refused(instance, result);
@@ -258,24 +258,6 @@
         }
     }
 
-    /** Keeps the way of the call for the line that explains its failure. */
-    private void note(Instance instance, CallResult result) {
-        if (history.length() > 0) {
-            history.append(' ');
-        }
-        history.append(instance.id()).append('=');
-        if (result.outcome() == CallResult.Outcome.ANSWERED) {
-            history.append(result.status());
-        } else {
-            history.append(result.outcome().name().toLowerCase(Locale.ROOT))
-                    .append(':')
-                    .append(result.reason());
-        }
-        if (result.waitMillis() > 0) {
-            history.append(":wait").append(result.waitMillis());
-        }
-    }
-
     private void arrived(Instance instance) {
         arrivals++;
         sentTo.add(instance.id());
--- /dev/null
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/CallHistoryTestCase.java
@@ -0,0 +1,22 @@
+package io.jaywick.node.relay;
+
+import java.util.List;
+
+import io.jaywick.core.gate.GateRefusal;
+import org.junit.jupiter.api.Test;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+class CallHistoryTestCase {
+
+    /** Guards against a failure line from which the cause cannot be read: order, reason and expected wait. */
+    @Test
+    void tellsWhatEachInstanceSaid() {
+        CallHistory history = new CallHistory();
+        history.add("i-1", CallResult.refused(GateRefusal.BUSY).withWait(120));
+        history.add("i-2", CallResult.lost("connection-reset"));
+        history.add("i-3", CallResult.answered(500, List.of(), new byte[0]));
+        assertThat(history.toString(), is("i-1=refused:busy:wait120 i-2=lost:connection-reset i-3=500"));
+    }
+}
