--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -149,6 +149,7 @@
                         .bindNow();
         registry.gauge("jaywick.target.running", local, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", local, LocalTarget::waiting);
+        registry.gauge("jaywick.target.cold", local, target -> target.isCold() ? 1 : 0);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
 
