--- a/jaywick-cli/src/main/java/io/jaywick/cli/explain/ExplainCommand.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/explain/ExplainCommand.java
@@ -80,7 +80,8 @@
 
     private static void print(RequestStory story, PrintStream out) {
         for (LogLine event : story.events()) {
-            out.println(event.time() + " " + event.node() + " " + event.message() + " " + event.fields());
+            out.println(event.time() + " " + event.node() + " " + event.requestId() + " " + event.message() + " "
+                    + event.fields());
         }
         Instant end = story.events().get(story.events().size() - 1).time();
         for (String node : nodes(story)) {
@@ -108,6 +109,9 @@
             Map<String, Object> object = new LinkedHashMap<>();
             object.put("time", line.time().toString());
             object.put("node", line.node());
+            if (line.requestId() != null) {
+                object.put("requestId", line.requestId());
+            }
             object.put("message", line.message());
             object.putAll(line.fields());
             objects.add(object);
--- a/jaywick-cli/src/main/java/io/jaywick/cli/explain/RequestStory.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/explain/RequestStory.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 
 /**
- * What the logs say of one request: its own lines, and for each node that wrote one the last things that it came to
+ * What the logs say of one request: its own lines and those of the calls that were made for it, and for each node that wrote one the last things that it came to
  * believe before. Memory is bounded, whatever the size of the logs.
  */
 final class RequestStory {
@@ -23,6 +23,9 @@
     /** A request has a few lines; a wrong id such as a common word must not fill the memory. */
     private static final int MAX_EVENTS = 1_000;
 
+    /** A call that a target makes for a request has an id that begins with the request's id and this. */
+    private static final String CALL_SEPARATOR = ".";
+
     private static final Comparator<LogLine> BY_TIME = Comparator.comparing(LogLine::time);
 
     private final String requestId;
@@ -44,7 +47,9 @@
     }
 
     private void addEvent(LogLine line) {
-        if (requestId.equals(line.requestId()) && events.size() < MAX_EVENTS) {
+        boolean own = requestId.equals(line.requestId())
+                || line.requestId() != null && line.requestId().startsWith(requestId + CALL_SEPARATOR);
+        if (own && events.size() < MAX_EVENTS) {
             events.add(line);
             lastByNode.merge(line.node(), line.time(), (a, b) -> a.isAfter(b) ? a : b);
         }
--- a/jaywick-cli/src/test/java/io/jaywick/cli/explain/ExplainCommandTestCase.java
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/explain/ExplainCommandTestCase.java
@@ -66,6 +66,19 @@
         assertThat(err.toString(), containsString("1 lines could not be read"));
     }
 
+    /** Guards against a failed request whose cause is a call that its run made: the story has to name it. */
+    @Test
+    void storyHoldsTheCallsMadeForTheRequest() throws IOException {
+        String file = write(
+                "a.log",
+                line(40, "a", "call failed", ",\"requestId\":\"r-1\",\"status\":500")
+                        + line(39, "b", "call failed", ",\"requestId\":\"r-1.c-7\",\"reason\":\"overloaded\"")
+                        + line(39, "b", "call failed", ",\"requestId\":\"r-11.c-8\",\"reason\":\"cold\""));
+        assertThat(explain("r-1", file), is(0));
+        assertThat(out.toString(), containsString("b r-1.c-7 call failed {reason=overloaded}"));
+        assertThat(out.toString(), not(containsString("cold")));
+    }
+
     @Test
     void printsJson() throws IOException {
         String file = write("a.log", line(40, "a", "call failed", ",\"requestId\":\"r-1\""));
