--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -66,14 +66,18 @@
     private static final class Exchange {
         final ForwardCall call;
         final TargetPool.Listener listener;
+        final double idleMillis;
+        final long sentNanos;
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpResponse head;
         CallResult result;
         ScheduledFuture<?> timeout;
 
-        Exchange(ForwardCall call, TargetPool.Listener listener) {
+        Exchange(ForwardCall call, TargetPool.Listener listener, double idleMillis, long sentNanos) {
             this.call = call;
             this.listener = listener;
+            this.idleMillis = idleMillis;
+            this.sentNanos = sentNanos;
         }
     }
 
@@ -87,16 +91,16 @@
         return channel.isActive()
                 && reusable
                 && exchange == null
-                && pool.nanoTime() - idleSinceNanos < idleMillis * NANOS_PER_MILLI;
+                && idleMillisNow() < idleMillis
+                && pool.idleLimit().allows(idleMillisNow(), pool.nanoTime());
     }
 
-    void close() {
-        channel.close();
+    private double idleMillisNow() {
+        return (pool.nanoTime() - idleSinceNanos) / (double) NANOS_PER_MILLI;
     }
 
-    /** Whether the connection has carried a whole answer before. */
-    boolean hasAnswered() {
-        return sawAnswer;
+    void close() {
+        channel.close();
     }
 
     /**
@@ -105,7 +109,7 @@
      * @param remainingMillis deadline that the target is told; the answer is awaited a little longer
      */
     void send(ForwardCall call, long remainingMillis, TargetPool.Listener listener) {
-        Exchange own = new Exchange(call, listener);
+        Exchange own = new Exchange(call, listener, sawAnswer ? idleMillisNow() : 0, pool.nanoTime());
         exchange = own;
         belongs = false;
         decoder.expectBodiless("HEAD".equals(call.method()));
@@ -279,6 +283,10 @@
 
     private void lose(String reason) {
         if (exchange != null && exchange.result == null) {
+            if (exchange.head == null) {
+                double elapsedMillis = (pool.nanoTime() - exchange.sentNanos) / (double) NANOS_PER_MILLI;
+                pool.idleLimit().lost(exchange.idleMillis, elapsedMillis, pool.nanoTime());
+            }
             fail(exchange, CallResult.lost(reason));
         }
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 
+import io.jaywick.core.gate.IdleLimit;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.node.settings.SocketAddressParser;
 import io.netty.bootstrap.Bootstrap;
@@ -35,6 +36,7 @@
     private final RelayContext context;
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> open = new HashSet<>();
+    private final IdleLimit idleLimit = new IdleLimit();
     private String observedInstance;
 
     TargetPool(RelayContext context) {
@@ -154,6 +156,10 @@
         return observedInstance;
     }
 
+    IdleLimit idleLimit() {
+        return idleLimit;
+    }
+
     int openConnections() {
         return open.size();
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
@@ -36,7 +38,8 @@
     final Relay caller;
     final Relay other;
     private RuleSet published;
-    private final NodeRuntime runtime = NodeRuntime.start(System.getLogger("test"), true);
+    private final AtomicLong aheadNanos = new AtomicLong();
+    private final NodeRuntime runtime = runtime();
 
     RelayFixture() throws IOException {
         target = new FakeTarget();
@@ -48,6 +51,17 @@
         other = relay("other", TARGET_HOST, peerPort, target.address());
     }
 
+    private NodeRuntime runtime() {
+        NodeRuntime real = NodeRuntime.start(System.getLogger("test"), true);
+        return new NodeRuntime(
+                real.loops(), real.loop(), () -> System.nanoTime() + aheadNanos.get(), real.random(), real.log());
+    }
+
+    /** Lets the nodes believe that time has passed; timers of the loop do not run sooner. */
+    void advance(long millis) {
+        aheadNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+    }
+
     private Relay relay(String name, String host, int peerPort, String targetAddress) {
         RelaySettings settings = new RelaySettings(
                 name,
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -23,6 +24,9 @@
 
     private static final long TIMEOUT_MILLIS = 10_000;
 
+    /** Longer than a pause between two calls under load, shorter than the idle timeout of any target. */
+    private static final long IDLE_MILLIS = 400;
+
     private RelayFixture fixture;
 
     @BeforeEach
@@ -285,4 +289,23 @@
         assertThat(call("GET", "/safe/1", "a", ""), startsWith("HTTP/1.1 503 "));
         assertThat(fixture.target.calls(), hasSize(0));
     }
+
+    /** Guards against further calls on connections that the target forgot while they were idle. */
+    @Test
+    void afterAnIdleConnectionWasLostCallsTakeNewOnes() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        AtomicInteger calls = new AtomicInteger();
+        // The second call on each connection finds it closed, as if the target had forgotten it.
+        fixture.target.script((request, out) ->
+                calls.incrementAndGet() % 2 == 1 && FakeTarget.write(out, FakeTarget.answer(request, 200, "ok")));
+        assertThat(call("GET", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 200 "));
+        fixture.advance(IDLE_MILLIS);
+        assertThat(call("GET", "/unsafe/2", "b", ""), startsWith("HTTP/1.1 502 "));
+        fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.answer(request, 200, "ok")));
+        assertThat(call("GET", "/unsafe/3", "c", ""), startsWith("HTTP/1.1 200 "));
+        int before = fixture.target.connections();
+        fixture.advance(IDLE_MILLIS);
+        assertThat(call("GET", "/unsafe/4", "d", ""), startsWith("HTTP/1.1 200 "));
+        assertThat(fixture.target.connections(), is(before + 1));
+    }
 }
