Choose last resorts by expected time; let them wait for a cold target's budget

The cold budget was the rate that a target bears, below the bound of the deployment (1.5 times the rate and 5 calls).

Change: an instance is superseded when a later one is listed at its address. The last resort is the instance that is expected to answer first, with a distance for paid links, never twice the same one. Nodes report the time until an answer and not only the wait. A call waits for the budget of a cold target when its turn comes in time, and one that others overtake is refused as soon as its turn comes too late. A line tells when a caller leaves.

Ruled out: the restart itself; nodes are ready 0.8 s after power returns.

--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetView.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetView.java
@@ -15,6 +15,7 @@
     private final RuleSet rules;
     private final Map<String, Instance> instances = new HashMap<>();
     private final Map<String, List<Instance>> byService = new HashMap<>();
+    private final Map<String, Long> newestBornMillis = new HashMap<>();
     private final Set<String> evacuated;
 
     public FleetView(RuleSet rules, Collection<Instance> instances, Set<String> evacuated) {
@@ -25,6 +26,7 @@
             byService
                     .computeIfAbsent(instance.service(), service -> new ArrayList<>())
                     .add(instance);
+            newestBornMillis.merge(instance.address(), instance.bornMillis(), Math::max);
         }
     }
 
@@ -42,6 +44,14 @@
         return instances.get(id);
     }
 
+    /**
+     * Whether an instance that started later is listed at the same address. The entry of a crashed instance stays listed
+     * for some seconds, while the next one already serves at its address.
+     */
+    public boolean isSuperseded(Instance instance) {
+        return instance.bornMillis() < newestBornMillis.getOrDefault(instance.address(), Long.MIN_VALUE);
+    }
+
     public Collection<Instance> instances() {
         return instances.values();
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/ColdBudget.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/ColdBudget.java
@@ -1,11 +1,13 @@
 package io.jaywick.core.gate;
 
 import java.util.ArrayDeque;
+import java.util.Iterator;
 
 /** Calls of the last second that were sent to a target, against what a cold target bears. Not thread-safe. */
 final class ColdBudget {
 
     private static final long WINDOW_NANOS = 1_000_000_000;
+    private static final double NANOS_PER_MILLI = 1_000_000;
 
     /** Memory bound; no target gets as many calls in one second. */
     private static final int MAX_STARTS = 4_096;
@@ -19,6 +21,33 @@
         startNanos.addLast(nowNanos);
     }
 
+    /**
+     * Milliseconds until a call can start that has others before it.
+     *
+     * @param ahead calls that start before it
+     */
+    double waitMillis(int ahead, double callsPerSecond, long nowNanos) {
+        int perSecond = (int) Math.max(1, callsPerSecond);
+        int starts = startsOfLastSecond(nowNanos);
+        int beyond = Math.min(starts, perSecond) + ahead + 1 - perSecond;
+        if (beyond <= 0) {
+            return 0;
+        }
+        // A full window repeats itself: each call starts one second after the one that left its place.
+        int place = Math.max(0, starts - perSecond) + (beyond - 1) % perSecond;
+        long seconds = 1 + (beyond - 1) / perSecond;
+        long previousNanos = place < starts ? startOf(place) : nowNanos;
+        return (previousNanos + seconds * WINDOW_NANOS - nowNanos) / NANOS_PER_MILLI;
+    }
+
+    private long startOf(int place) {
+        Iterator<Long> oldest = startNanos.iterator();
+        for (int i = 0; i < place; i++) {
+            oldest.next();
+        }
+        return oldest.next();
+    }
+
     int startsOfLastSecond(long nowNanos) {
         while (!startNanos.isEmpty() && nowNanos - startNanos.peekFirst() >= WINDOW_NANOS) {
             startNanos.removeFirst();
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -76,22 +76,20 @@
         if (now - call.deadlineNanos >= 0) {
             return GateRefusal.DEADLINE;
         }
-        boolean free = running < slots && waiting.isEmpty();
-        if (free && isColdBudgetUsedUp(now)) {
-            return GateRefusal.COLD;
-        }
+        boolean coldUsedUp = isColdBudgetUsedUp(now);
+        boolean free = running < slots && waiting.isEmpty() && !coldUsedUp;
         double workMillis = times.millis(call.route);
         double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
         double tolerated = call.objectiveNanos + (free ? FREE_SLOT_TOLERANCE * (call.objectiveNanos - now) : 0);
         // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
-        if (call.trial && running > 0 && endNanos > tolerated) {
-            return isColdBudgetUsedUp(now) ? GateRefusal.COLD : GateRefusal.BUSY;
+        if (call.trial && (running > 0 || coldUsedUp) && endNanos > tolerated) {
+            return coldUsedUp ? GateRefusal.COLD : GateRefusal.BUSY;
         }
         if (call.trial && call.foreign && running + waiting.size() >= slots * FOREIGN_SHARE) {
             return GateRefusal.BUSY;
         }
         if (!free && (endNanos > call.deadlineNanos || waiting.size() >= MAX_WAITING)) {
-            return GateRefusal.OVERLOADED;
+            return coldUsedUp ? GateRefusal.COLD : GateRefusal.OVERLOADED;
         }
         if (free) {
             start(call, now);
@@ -107,16 +105,30 @@
      * later, but a queue that admits more for that reason holds them until their deadlines pass.
      */
     public long waitMillis(int priority) {
-        if (running < slots && waiting.isEmpty()) {
-            return 0;
-        }
-        double workMillis = times.overallMillis();
+        int ahead = 0;
+        double workMillis = 0;
         for (GateCall call : waiting) {
             if (call.priority <= priority) {
+                ahead++;
                 workMillis += times.millis(call.route);
             }
         }
-        return (long) Math.ceil(workMillis / slots);
+        return (long) Math.ceil(waitMillis(ahead, workMillis, nanoTime.getAsLong()));
+    }
+
+    /** Expected milliseconds until the answer of an average call that comes now. */
+    public long expectedMillis(int priority) {
+        return waitMillis(priority) + (long) times.overallMillis();
+    }
+
+    /** Wait behind calls with the given work: for a slot, and for the budget of a cold target. */
+    private double waitMillis(int ahead, double workMillis, long now) {
+        double slotMillis = running < slots && waiting.isEmpty() ? 0 : (times.overallMillis() + workMillis) / slots;
+        if (!isCold()) {
+            return slotMillis;
+        }
+        double warmMillis = (coldUntilNanos - now) / NANOS_PER_MILLI;
+        return Math.max(slotMillis, Math.min(warmMillis, starts.waitMillis(ahead, coldCallsPerSecond, now)));
     }
 
     /** The target has answered the call or lost it; its work counts for the estimates when it was answered. */
@@ -150,11 +162,7 @@
     /** Starts what can be started and refuses what can no longer be answered in time; called at each short interval. */
     public void pump() {
         long now = nanoTime.getAsLong();
-        for (GateCall call : List.copyOf(waiting)) {
-            if (now + times.millis(call.route) * NANOS_PER_MILLI / 2 > call.deadlineNanos) {
-                refuse(call, GateRefusal.DEADLINE);
-            }
-        }
+        refuseLate(now);
         while (running < slots && !waiting.isEmpty() && !isColdBudgetUsedUp(now)) {
             GateCall next = best(now);
             waiting.remove(next);
@@ -162,6 +170,27 @@
         }
     }
 
+    /** Calls that more urgent ones have overtaken are refused as soon as their turn would come too late. */
+    private void refuseLate(long now) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        List<GateCall> order = new ArrayList<>(waiting);
+        order.sort((a, b) -> comesBefore(a, b, now) ? -1 : comesBefore(b, a, now) ? 1 : 0);
+        int ahead = 0;
+        double aheadMillis = 0;
+        for (GateCall call : order) {
+            double workMillis = times.millis(call.route);
+            double waitMillis = ahead == 0 ? 0 : waitMillis(ahead, aheadMillis, now);
+            if (now + (waitMillis + workMillis / 2) * NANOS_PER_MILLI > call.deadlineNanos) {
+                refuse(call, GateRefusal.DEADLINE);
+            } else {
+                ahead++;
+                aheadMillis += workMillis;
+            }
+        }
+    }
+
     private void refuse(GateCall call, GateRefusal reason) {
         if (waiting.remove(call)) {
             call.state = GateCall.State.ENDED;
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -3,7 +3,7 @@
 /** What one node knows of the load and the failures of one instance. Not thread-safe. */
 final class InstanceLoad {
 
-    /** A report of waiting time loses half of its weight in this time, about one service time of a short call. */
+    /** A report of expected time loses half of its weight in this time, about one service time of a short call. */
     private static final double REPORT_HALF_LIFE_MILLIS = 200;
 
     /** First time that an unreachable instance is left out; it doubles with each further failure. */
@@ -15,7 +15,7 @@
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private int inFlight;
-    private double reportedWaitMillis;
+    private double reportedMillis;
     private long reportedNanos;
     private long avoidUntilNanos;
     private int failuresInRow;
@@ -29,8 +29,8 @@
         inFlight--;
     }
 
-    void reported(long waitMillis, long nowNanos) {
-        reportedWaitMillis = waitMillis;
+    void reported(long expectedMillis, long nowNanos) {
+        reportedMillis = expectedMillis;
         reportedNanos = nowNanos;
     }
 
@@ -54,9 +54,9 @@
         return avoided && nowNanos - avoidUntilNanos < 0;
     }
 
-    /** Expected wait in milliseconds of a call that is sent now; calls of this node count a little each. */
+    /** Expected milliseconds until the answer of a call that is sent now; calls of this node count a little each. */
     double score(long nowNanos) {
         double ageMillis = (nowNanos - reportedNanos) / NANOS_PER_MILLI;
-        return reportedWaitMillis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS) + inFlight;
+        return reportedMillis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS) + inFlight;
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
@@ -19,6 +19,14 @@
  */
 public final class Placement {
 
+    /**
+     * A call goes to another data centre or region as a last resort only if it is answered there this much sooner, because
+     * its bytes are paid for. The figures are four and eight round trips of the links that users have.
+     */
+    private static final double OTHER_DATA_CENTRE_MILLIS = 12;
+
+    private static final double OTHER_REGION_MILLIS = 200;
+
     private final String host;
     private final String dataCentre;
     private final String region;
@@ -57,7 +65,10 @@
             if (isUsable(view, instance, homeRegions)) {
                 InstanceLoad load = load(instance.id());
                 scored.add(new Scored(
-                        instance, distance(instance), load.isAvoided(now), load.score(now) + random.nextDouble()));
+                        instance,
+                        distance(instance),
+                        load.isAvoided(now) || view.isSuperseded(instance),
+                        load.score(now) + random.nextDouble()));
             }
         }
         scored.sort((a, b) -> {
@@ -91,9 +102,36 @@
                 : Distance.OTHER_REGION;
     }
 
-    /** Expected wait in milliseconds, as last reported. */
-    public double expectedWaitMillis(String instanceId) {
-        return load(instanceId).score(nanoTime.getAsLong());
+    /**
+     * Chooses the instance that takes a call which no instance can answer within its objective: the one that is expected
+     * to answer first. Those that failed lately or were superseded get it only when there is no other.
+     *
+     * @return null when there are no candidates
+     */
+    public Instance lastResort(FleetView view, List<Instance> candidates) {
+        long now = nanoTime.getAsLong();
+        Instance best = null;
+        boolean bestDoubtful = false;
+        double bestMillis = 0;
+        for (Instance instance : candidates) {
+            InstanceLoad load = load(instance.id());
+            boolean doubtful = load.isAvoided(now) || view.isSuperseded(instance);
+            double millis = load.score(now) + distanceMillis(instance);
+            if (best == null || (doubtful == bestDoubtful ? millis < bestMillis : bestDoubtful)) {
+                best = instance;
+                bestDoubtful = doubtful;
+                bestMillis = millis;
+            }
+        }
+        return best;
+    }
+
+    private double distanceMillis(Instance instance) {
+        return switch (distance(instance)) {
+            case SAME_INSTANCE, SAME_DATA_CENTRE -> 0;
+            case SAME_REGION -> OTHER_DATA_CENTRE_MILLIS;
+            case OTHER_REGION -> OTHER_REGION_MILLIS;
+        };
     }
 
     public void started(String instanceId) {
@@ -104,9 +142,9 @@
         load(instanceId).ended();
     }
 
-    /** Notes the wait that the node beside an instance reported with an answer or a refusal. */
-    public void reported(String instanceId, long waitMillis) {
-        load(instanceId).reported(waitMillis, nanoTime.getAsLong());
+    /** Notes the time until an answer that the node beside an instance reported with an answer or a refusal. */
+    public void reported(String instanceId, long expectedMillis) {
+        load(instanceId).reported(expectedMillis, nanoTime.getAsLong());
     }
 
     public void succeeded(String instanceId) {
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -10,6 +10,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
@@ -21,6 +22,7 @@
     private final TargetGate gate = new TargetGate(nanos::get);
     private final List<String> started = new ArrayList<>();
     private final List<String> refused = new ArrayList<>();
+    private final List<Call> atTarget = new ArrayList<>();
 
     private final class Call extends GateCall {
         private final String name;
@@ -43,6 +45,7 @@
         @Override
         protected void admitted() {
             started.add(name);
+            atTarget.add(this);
         }
 
         @Override
@@ -55,6 +58,14 @@
         return new Call(name, 1, 1_000, 5_000, false);
     }
 
+    private void endRunning() {
+        List<Call> ending = List.copyOf(atTarget);
+        atTarget.clear();
+        for (Call call : ending) {
+            gate.ended(call, true);
+        }
+    }
+
     private void pass(long millis) {
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
@@ -206,7 +217,7 @@
             for (int i = before; i < started.size(); i++) {
                 starts.add(nanos.get());
             }
-            gate.ended(call, true);
+            endRunning();
         }
         assertThat(starts.size(), greaterThan(200));
         for (int i = 0; i < starts.size(); i++) {
@@ -218,6 +229,65 @@
         }
     }
 
+    /**
+     * Pattern power_off_all: all targets come back cold and the calls of all nodes press. A call that has no other
+     * instance waits for its turn, so that the budget of each second is used; the rest is refused at once.
+     */
+    @Test
+    void lastResortsWaitForTheBudgetOfAColdTarget() {
+        gate.setSlots(100);
+        gate.setCold(TimeUnit.SECONDS.toNanos(60), 10);
+        int refusals = 0;
+        for (int i = 0; i < 40; i++) {
+            GateRefusal refusal = gate.offer(new Call("c" + i, 1, 500, 2_500, false));
+            if (refusal != null) {
+                assertThat(refusal, is(GateRefusal.COLD));
+                refusals++;
+            }
+        }
+        assertThat(started.size(), is(10));
+        assertThat(refusals, is(40 - started.size() - gate.waiting()));
+        assertThat(gate.waiting(), is(20));
+        for (int i = 0; i < 25; i++) {
+            pass(100);
+            gate.pump();
+        }
+        assertThat(started.size(), is(30));
+        assertThat(refused, empty());
+    }
+
+    /** Pattern cold_return: a trial call that must wait for the budget until after its objective goes elsewhere. */
+    @Test
+    void trialsDoNotWaitForTheBudgetBeyondTheirObjective() {
+        gate.setSlots(100);
+        gate.setCold(TimeUnit.SECONDS.toNanos(60), 1);
+        gate.offer(call("first"));
+        assertThat(gate.offer(new Call("trial", 1, 900, 5_000, true)), is(GateRefusal.COLD));
+        assertThat(gate.offer(new Call("patient", 1, 1_500, 5_000, true)), nullValue());
+    }
+
+    /** Guards against a wait for the budget of a target that turns warm sooner. */
+    @Test
+    void waitEndsWhenTheTargetTurnsWarm() {
+        gate.setSlots(100);
+        gate.setCold(TimeUnit.MILLISECONDS.toNanos(200), 1);
+        gate.offer(call("first"));
+        assertThat(gate.waitMillis(1), is(200L));
+    }
+
+    /** Pattern burst: a call that more urgent ones overtake is told soon, not when its deadline has come. */
+    @Test
+    void overtakenCallIsRefusedBeforeItsDeadline() {
+        gate.setSlots(1);
+        gate.offer(call("running"));
+        assertThat(gate.offer(new Call("overtaken", 2, 300, 1_000, false)), nullValue());
+        for (int i = 0; i < 40; i++) {
+            gate.offer(new Call("urgent " + i, 0, 3_000, 5_000, false));
+        }
+        gate.pump();
+        assertThat(refused, contains("overtaken deadline"));
+    }
+
     /** Guards against slots that a caller which left takes with it. */
     @Test
     void cancelledCallsFreeTheirPlace() {
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/PlacementTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/PlacementTestCase.java
@@ -17,6 +17,8 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.nullValue;
 
 class PlacementTestCase {
 
@@ -90,4 +92,57 @@
         placement.reported("y", 300);
         assertThat(order(view, Set.of()), contains("x", "y"));
     }
+
+    /**
+     * Pattern power_off_all: for some seconds each address is listed twice, with the crashed instance and the next one;
+     * the crashed one costs a call a round trip and a trial.
+     */
+    @Test
+    void supersededInstancesComeLast() {
+        FleetView view =
+                view(Set.of(), born("old", 1_000), born("new", 2_000), instance("far", "10.0.0.4", "b1", false));
+        assertThat(order(view, Set.of()), contains("new", "far", "old"));
+        assertThat(
+                placement.lastResort(view, placement.order(view, "s", Set.of())).id(), is("new"));
+    }
+
+    private static Instance born(String id, long bornMillis) {
+        return new Instance(id, "s", "10.0.0.2:80", "a1", "v1", 4, false, 0, 1, bornMillis, 0);
+    }
+
+    /** Pattern burst: the last resort is an instance that can take the call, not one that nobody could reach. */
+    @Test
+    void lastResortIsTheSoonestThatDidNotFail() {
+        placement.failed("own");
+        placement.reported("centre", 300);
+        placement.reported("region", 40);
+        placement.reported("far", 10);
+        assertThat(
+                placement
+                        .lastResort(whole, placement.order(whole, "s", Set.of()))
+                        .id(),
+                is("region"));
+        placement.reported("region", 900);
+        assertThat(
+                placement
+                        .lastResort(whole, placement.order(whole, "s", Set.of()))
+                        .id(),
+                is("far"));
+    }
+
+    /** Guards against bytes between regions for a call that would be answered about as soon in its own. */
+    @Test
+    void lastResortStaysNearWhenFarIsNotMuchSooner() {
+        placement.reported("own", 180);
+        placement.reported("centre", 180);
+        placement.reported("region", 180);
+        placement.reported("far", 10);
+        Instance last = placement.lastResort(whole, placement.order(whole, "s", Set.of()));
+        assertThat(placement.distance(last), lessThan(Distance.OTHER_REGION));
+    }
+
+    @Test
+    void withoutCandidatesThereIsNoLastResort() {
+        assertThat(placement.lastResort(whole, List.of()), nullValue());
+    }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallHistory.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallHistory.java
@@ -7,7 +7,7 @@
 
     private final StringBuilder text = new StringBuilder();
 
-    /** Adds how the call ended at an instance, with the wait in milliseconds that the instance expected. */
+    /** Adds how the call ended at an instance, with the milliseconds that the instance expects to need for the next one. */
     void add(String instanceId, CallResult result) {
         if (text.length() > 0) {
             text.append(' ');
@@ -20,8 +20,8 @@
                     .append(':')
                     .append(result.reason());
         }
-        if (result.waitMillis() > 0) {
-            text.append(":wait").append(result.waitMillis());
+        if (result.expectedMillis() > 0) {
+            text.append(":expects").append(result.expectedMillis());
         }
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -10,10 +10,10 @@
  * @param reason short fixed text for logs and metrics; empty for an answer
  * @param status HTTP status of an answer, else 0
  * @param headers names and values in turn, of an answer only
- * @param waitMillis expected wait of the next call at the instance; -1 when unknown
+ * @param expectedMillis time until the answer of a call that comes to the instance now; -1 when unknown
  */
 public record CallResult(
-        Outcome outcome, String reason, int status, List<String> headers, byte[] body, long waitMillis) {
+        Outcome outcome, String reason, int status, List<String> headers, byte[] body, long expectedMillis) {
 
     /** Reason of a call that reached another instance than the one chosen, which did not run it. */
     static final String ANOTHER_INSTANCE = "another-instance";
@@ -58,7 +58,7 @@
         return new CallResult(Outcome.TIMED_OUT, "deadline", 0, List.of(), EMPTY, -1);
     }
 
-    CallResult withWait(long millis) {
+    CallResult withExpected(long millis) {
         return new CallResult(outcome, reason, status, headers, body, millis);
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -161,16 +161,9 @@
             gate.setCold(context.nanoTime(), 0);
             return;
         }
-        gate.setCold(context.nanoTime() + millis * NANOS_PER_MILLI, rule.coldCallsPerSecond());
-        context.log()
-                .change(
-                        "target is cold",
-                        "cause",
-                        cause,
-                        "forMillis",
-                        millis,
-                        "callsPerSecond",
-                        rule.coldCallsPerSecond());
+        double callsPerSecond = context.settings().coldBound().callsPerSecond(rule.coldCallsPerSecond());
+        gate.setCold(context.nanoTime() + millis * NANOS_PER_MILLI, callsPerSecond);
+        context.log().change("target is cold", "cause", cause, "forMillis", millis, "callsPerSecond", callsPerSecond);
     }
 
     @Override
@@ -182,7 +175,7 @@
             watchQueue();
         }
         if (refusal != null) {
-            done.accept(CallResult.refused(refusal).withWait(waitMillis(call, refusal)));
+            done.accept(CallResult.refused(refusal).withExpected(expectedMillis(call, refusal)));
         }
         return running::cancel;
     }
@@ -205,10 +198,10 @@
         return null;
     }
 
-    private long waitMillis(ForwardCall call, GateRefusal refusal) {
+    private long expectedMillis(ForwardCall call, GateRefusal refusal) {
         return refusal == GateRefusal.LEAVING || refusal == GateRefusal.UNKNOWN_INSTANCE
                 ? -1
-                : gate.waitMillis(call.priority());
+                : gate.expectedMillis(call.priority());
     }
 
     /** A call from its offer to its result. */
@@ -243,7 +236,7 @@
 
         @Override
         protected void refused(GateRefusal reason) {
-            end(CallResult.refused(reason).withWait(gate.waitMillis(call.priority())));
+            end(CallResult.refused(reason).withExpected(gate.expectedMillis(call.priority())));
         }
 
         private void answered(CallResult result) {
@@ -252,7 +245,7 @@
                 viewChanged();
             }
             gate.ended(this, result.outcome() == CallResult.Outcome.ANSWERED);
-            end(result.withWait(gate.waitMillis(call.priority())));
+            end(result.withExpected(gate.expectedMillis(call.priority())));
         }
 
         private void end(CallResult result) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -47,6 +47,7 @@
     private final Consumer<ClientAnswer> done;
     private final String requestId;
     private final Set<String> refusedBy = new HashSet<>();
+    private final Set<String> refusedLastBy = new HashSet<>();
     private final Set<String> sentTo = new HashSet<>();
     private RouteRule route;
     private String service;
@@ -54,10 +55,9 @@
     private List<String> headers = List.of();
     private final CallHistory history = new CallHistory();
     private int trials;
-    private int lastResorts;
     private int arrivals;
     private boolean mayHaveRun;
-    private long leastWaitMillis = -1;
+    private long leastExpectedMillis = -1;
     private CallResult failure;
     private PendingCall pending;
     private ScheduledFuture<?> timeout;
@@ -83,9 +83,28 @@
             return;
         }
         if (!view.rules().isKnown()) {
-            end(refusal("no-rules"));
+            if (!calls.awaitRules(this)) {
+                end(refusal("no-rules"));
+            }
             return;
         }
+        route(view);
+    }
+
+    /** Goes on, or is refused, when the rules are known or are no longer awaited. */
+    void rulesAwaited() {
+        if (ended) {
+            return;
+        }
+        FleetView view = calls.fleet();
+        if (view.rules().isKnown()) {
+            route(view);
+        } else {
+            end(refusal("no-rules"));
+        }
+    }
+
+    private void route(FleetView view) {
         route = view.rules().route(request.host(), request.uri());
         if (route == null) {
             end(ClientAnswer.own(ClientAnswer.NOT_FOUND, "no-route", 0));
@@ -140,12 +159,14 @@
             offer(trial, true);
             return;
         }
-        Instance last = leastLoaded(order);
-        if (last == null || lastResorts >= MAX_LAST_RESORTS) {
-            end(failure(order.isEmpty() ? "no-instance" : "overloaded"));
+        boolean none = order.isEmpty();
+        order.removeIf(instance -> refusedLastBy.contains(instance.id()));
+        Instance last = calls.placement().lastResort(view, order);
+        if (last == null || refusedLastBy.size() >= MAX_LAST_RESORTS) {
+            end(failure(none ? "no-instance" : "overloaded"));
             return;
         }
-        lastResorts++;
+        refusedLastBy.add(last.id());
         offer(last, false);
     }
 
@@ -161,19 +182,6 @@
         return null;
     }
 
-    private Instance leastLoaded(List<Instance> order) {
-        Instance best = null;
-        double bestMillis = 0;
-        for (Instance instance : order) {
-            double millis = calls.placement().expectedWaitMillis(instance.id());
-            if (best == null || millis < bestMillis) {
-                best = instance;
-                bestMillis = millis;
-            }
-        }
-        return best;
-    }
-
     private void offer(Instance instance, boolean trial) {
         long elapsedMillis = (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
         ForwardCall call = new ForwardCall(
@@ -230,8 +238,8 @@
     }
 
     private void received(Instance instance, CallResult result) {
-        if (result.waitMillis() >= 0) {
-            calls.placement().reported(instance.id(), result.waitMillis());
+        if (result.expectedMillis() >= 0) {
+            calls.placement().reported(instance.id(), result.expectedMillis());
         }
         if (ended) {
             return;
@@ -276,9 +284,10 @@
 
     private void refused(Instance instance, CallResult result) {
         refusedBy.add(instance.id());
-        if (result.waitMillis() >= 0) {
-            leastWaitMillis =
-                    leastWaitMillis < 0 ? result.waitMillis() : Math.min(leastWaitMillis, result.waitMillis());
+        if (result.expectedMillis() >= 0) {
+            leastExpectedMillis = leastExpectedMillis < 0
+                    ? result.expectedMillis()
+                    : Math.min(leastExpectedMillis, result.expectedMillis());
         }
         switch (result.reason()) {
             case "leaving", "unknown-instance" -> {
@@ -323,7 +332,7 @@
 
     private ClientAnswer refusal(String reason) {
         endReason = reason;
-        long waitMillis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, leastWaitMillis));
+        long waitMillis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, leastExpectedMillis));
         // Callers that were refused together must not come back together.
         long spreadMillis = calls.context().runtime().random().nextLong(waitMillis / 2 + 1);
         return ClientAnswer.own(ClientAnswer.UNAVAILABLE, reason, waitMillis + spreadMillis);
@@ -349,6 +358,20 @@
             pending.cancel();
         }
         calls.meters().cancelled();
+        calls.context()
+                .log()
+                .call(
+                        "caller left",
+                        "requestId",
+                        requestId,
+                        "route",
+                        route == null ? "" : route.name(),
+                        "service",
+                        service,
+                        "instances",
+                        history,
+                        "elapsedMillis",
+                        (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI);
         finish();
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -75,7 +75,7 @@
                         answer.status(),
                         answer.headers(),
                         answer.body(),
-                        answer.waitMillis());
+                        answer.expectedMillis());
             } catch (IllegalArgumentException e) {
                 log.warning("unknown outcome from a peer", "outcome", answer.outcome());
                 return CallResult.lost("peer-answer");
@@ -116,7 +116,7 @@
                 result.status(),
                 result.headers(),
                 result.body(),
-                result.waitMillis());
+                result.expectedMillis());
     }
 
     private CompletableFuture<Message> cancel(ForwardCancel cancel) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -147,6 +147,7 @@
                                 "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
                                         .sendString(Mono.fromSupplier(registry::scrape))))
                         .bindNow();
+        registry.gauge("jaywick.calls.inflight", calls, OutboundCalls::inFlight);
         registry.gauge("jaywick.target.running", local, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", local, LocalTarget::waiting);
         registry.gauge("jaywick.target.cold", local, target -> target.isCold() ? 1 : 0);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Map;
 
+import io.jaywick.core.gate.ColdBound;
+
 /**
  * What one node is told when it starts.
  *
@@ -20,6 +22,7 @@
  * @param retryAllowance further repeats in each window, over the whole fleet
  * @param retryWindowMillis length of these windows
  * @param graceMillis time between the request to stop and the forced end
+ * @param coldBound what a cold target may get beyond the rate that it bears
  */
 public record RelaySettings(
         String name,
@@ -38,4 +41,5 @@
         double retryRatio,
         double retryAllowance,
         long retryWindowMillis,
-        long graceMillis) {}
+        long graceMillis,
+        ColdBound coldBound) {}
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -15,6 +15,7 @@
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.gate.ColdBound;
 import io.jaywick.core.rules.CallerLimits;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.RuleSet;
@@ -36,6 +37,7 @@
 
     final FakeTarget target;
     final Relay caller;
+    private final PrometheusMeterRegistry callerMetrics = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     final Relay other;
     private RuleSet published;
     private final AtomicLong aheadNanos = new AtomicLong();
@@ -47,8 +49,13 @@
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(TARGET_HOST))) {
             peerPort = socket.getLocalPort();
         }
-        caller = relay("caller", CALLER_HOST, peerPort, CALLER_HOST + ":1");
-        other = relay("other", TARGET_HOST, peerPort, target.address());
+        caller = relay("caller", CALLER_HOST, peerPort, CALLER_HOST + ":1", callerMetrics);
+        other = relay(
+                "other",
+                TARGET_HOST,
+                peerPort,
+                target.address(),
+                new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
     }
 
     private NodeRuntime runtime() {
@@ -57,12 +64,19 @@
                 real.loops(), real.loop(), () -> System.nanoTime() + aheadNanos.get(), real.random(), real.log());
     }
 
+    /** Waits until the caller's node has taken the given number of calls that are not answered yet. */
+    void awaitInFlight(int calls) {
+        while (callerMetrics.get("jaywick.calls.inflight").gauge().value() < calls) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Lets the nodes believe that time has passed; timers of the loop do not run sooner. */
     void advance(long millis) {
         aheadNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
-    private Relay relay(String name, String host, int peerPort, String targetAddress) {
+    private Relay relay(String name, String host, int peerPort, String targetAddress, PrometheusMeterRegistry metrics) {
         RelaySettings settings = new RelaySettings(
                 name,
                 host,
@@ -80,8 +94,9 @@
                 0.2,
                 100,
                 10_000,
-                2_000);
-        return new Relay(settings, NAMES, runtime, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
+                2_000,
+                ColdBound.NONE);
+        return new Relay(settings, NAMES, runtime, metrics);
     }
 
     /** Lets both nodes believe that the target serves two routes, one of them idempotent, with the given timeout. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -75,9 +75,22 @@
         assertThat(call("GET", "/none/1", "a", ""), startsWith("HTTP/1.1 404 "));
     }
 
+    /** Pattern herd_kill: callers with one retry do not spend it on a node that knows the rules a moment later. */
+    @Test
+    void callAtAStartingNodeWaitsForTheRules() throws Exception {
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request("GET", "/safe/1", "a", "").getBytes(StandardCharsets.ISO_8859_1));
+            fixture.awaitInFlight(1);
+            fixture.publish(TIMEOUT_MILLIS);
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer, startsWith("HTTP/1.1 200 "));
+        }
+    }
+
     /** Guards against a 404 for a route that the node cannot know yet. */
     @Test
     void withoutRulesTheCallerIsAskedToComeBack() throws IOException {
+        fixture.advance(TIMEOUT_MILLIS);
         String answer = call("GET", "/safe/1", "a", "");
         assertThat(answer, startsWith("HTTP/1.1 503 "));
         assertThat(answer.toLowerCase(), containsString("retry-after: 0."));
