Hedge late idempotent calls; let calls inherit the priority of their request

Two of the catalog's targets were twelve times as slow, and others lost the answers of 30 calls in 100; nothing was done about an answer that is late until the deadline.

Change: an idempotent call whose answer is later than 98 of 100 of its route is sent to a second target, within the retry budget; targets take hedges only with slots to spare and never while cold. Work that a caller did not wait for counts as slow. A call inherits the lower priority of the request that it is made for. The order in which instances are asked is a class of the core (CallPlan), and what a caller is told another (CallAnswers).

Ruled out by trials: hedges at any target.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
@@ -8,6 +8,7 @@
     final long objectiveNanos;
     final long deadlineNanos;
     final boolean trial;
+    final boolean hedge;
     final boolean foreign;
     State state = State.NEW;
     long startedNanos;
@@ -26,15 +27,23 @@
      * @param objectiveNanos monotonic moment until which an answer has its full value
      * @param deadlineNanos monotonic moment after which an answer has none
      * @param trial whether the call is refused when it would probably miss its objective
+     * @param hedge whether another target may still answer the caller
      * @param foreign whether the call comes from another region
      */
     protected GateCall(
-            String route, int priority, long objectiveNanos, long deadlineNanos, boolean trial, boolean foreign) {
+            String route,
+            int priority,
+            long objectiveNanos,
+            long deadlineNanos,
+            boolean trial,
+            boolean hedge,
+            boolean foreign) {
         this.route = route;
         this.priority = priority;
         this.objectiveNanos = objectiveNanos;
         this.deadlineNanos = deadlineNanos;
         this.trial = trial;
+        this.hedge = hedge;
         this.foreign = foreign;
     }
 
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/RunningPriorities.java
@@ -0,0 +1,33 @@
+package io.jaywick.core.gate;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Priorities of the calls that run at the target beside the node. A call that the target makes for one of them is no more
+ * urgent than that one: otherwise the many small calls made for less urgent requests would displace more urgent ones.
+ * Not thread-safe.
+ */
+public final class RunningPriorities {
+
+    /** Separates the id of a request from the number of a call that is made for it. */
+    private static final char CALL_SEPARATOR = '.';
+
+    private final Map<String, Integer> priorities = new HashMap<>();
+
+    /** Notes that a call runs; 0 is the highest priority. */
+    public void started(String requestId, int priority) {
+        priorities.put(requestId, priority);
+    }
+
+    public void ended(String requestId) {
+        priorities.remove(requestId);
+    }
+
+    /** Returns the priority of a call from this host: that of its route, or of the request it is made for if lower. */
+    public int priorityOf(String requestId, int routePriority) {
+        int separator = requestId.lastIndexOf(CALL_SEPARATOR);
+        Integer parent = separator < 0 ? null : priorities.get(requestId.substring(0, separator));
+        return parent == null ? routePriority : Math.max(parent, routePriority);
+    }
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -16,10 +16,10 @@
     private static final int FIRST_SLOTS = 4;
 
     /**
-     * Slots that trial calls of other regions may fill. In a burst on all regions each would otherwise take the others'
-     * calls and send its own away, over the links that are paid for.
+     * Slots that hedges and trial calls of other regions may fill. In a burst on all regions each would otherwise take the
+     * others' calls and send its own away, over the links that are paid for.
      */
-    private static final double FOREIGN_SHARE = 0.75;
+    private static final double SPARE_SHARE = 0.75;
 
     /**
      * A free slot is refused only when the call would take twice its objective. Estimates are rough, and a call that is
@@ -85,7 +85,8 @@
         if (call.trial && (running > 0 || coldUsedUp) && endNanos > tolerated) {
             return coldUsedUp ? GateRefusal.COLD : GateRefusal.BUSY;
         }
-        if (call.trial && call.foreign && running + waiting.size() >= slots * FOREIGN_SHARE) {
+        boolean spare = running + waiting.size() < slots * SPARE_SHARE;
+        if (call.trial && call.foreign && !spare || call.hedge && (!spare || isCold())) {
             return GateRefusal.BUSY;
         }
         if (!free && (endNanos > call.deadlineNanos || waiting.size() >= MAX_WAITING)) {
@@ -131,15 +132,19 @@
         return Math.max(slotMillis, Math.min(warmMillis, starts.waitMillis(ahead, coldCallsPerSecond, now)));
     }
 
-    /** The target has answered the call or lost it; its work counts for the estimates when it was answered. */
+    /**
+     * The target has answered the call or lost it, or its caller has left. The work of an answered call counts for the
+     * estimates, and of any other when it took longer than expected: a target that turned slow may answer none in time.
+     */
     public void ended(GateCall call, boolean answered) {
         if (call.state != GateCall.State.RUNNING) {
             return;
         }
         call.state = GateCall.State.ENDED;
         running--;
-        if (answered) {
-            times.observe(call.route, nanoTime.getAsLong() - call.startedNanos);
+        long workNanos = nanoTime.getAsLong() - call.startedNanos;
+        if (answered || workNanos > times.millis(call.route) * NANOS_PER_MILLI) {
+            times.observe(call.route, workNanos);
         }
         pump();
     }
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/CallPlan.java
@@ -0,0 +1,118 @@
+package io.jaywick.core.placement;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+
+import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.fleet.Instance;
+
+/**
+ * The instances that one call may still be offered to: near ones first as trials, then the one that is expected to answer
+ * first as the last resort, and never an instance that had the call before. Not thread-safe.
+ */
+public final class CallPlan {
+
+    /** Instances that are asked, nearest first, whether they can meet the objective; each costs a round trip. */
+    private static final int MAX_TRIALS = 4;
+
+    /** Instances that are asked to take a call that meets its objective nowhere. */
+    private static final int MAX_LAST_RESORTS = 2;
+
+    /** Instances that are asked to take a hedge; each of them may refuse it. */
+    private static final int MAX_HEDGES = 2;
+
+    private final Placement placement;
+    private final Supplier<FleetView> fleet;
+    private final String service;
+    private final Set<String> homeRegions;
+    private final Set<String> refusedBy = new HashSet<>();
+    private final Set<String> lastResorts = new HashSet<>();
+    private final Set<String> excluded = new HashSet<>();
+    private final Set<String> asked = new HashSet<>();
+    private int trials;
+    private int hedges;
+    private boolean exhausted;
+
+    /** An instance that is asked next. */
+    public record Choice(Instance instance, Purpose purpose) {}
+
+    /**
+     * Makes the plan of a call that nobody was asked to take.
+     *
+     * @param homeRegions regions in which the call may be processed; empty means any
+     */
+    public CallPlan(Placement placement, Supplier<FleetView> fleet, String service, Set<String> homeRegions) {
+        this.placement = placement;
+        this.fleet = fleet;
+        this.service = service;
+        this.homeRegions = homeRegions;
+    }
+
+    /** Returns the instance that is asked next, or null when there is none. */
+    public Choice next() {
+        List<Instance> order = candidates();
+        exhausted = order.isEmpty();
+        if (trials < MAX_TRIALS) {
+            for (Instance instance : order) {
+                if (!refusedBy.contains(instance.id())) {
+                    trials++;
+                    return ask(instance, Purpose.TRIAL);
+                }
+            }
+        }
+        order.removeIf(instance -> lastResorts.contains(instance.id()));
+        Instance last = placement.lastResort(fleet.get(), order);
+        if (last == null || lastResorts.size() >= MAX_LAST_RESORTS) {
+            return null;
+        }
+        lastResorts.add(last.id());
+        return ask(last, Purpose.LAST_RESORT);
+    }
+
+    /** Returns the instance that is asked to take a hedge, or null when there is none. */
+    public Choice nextHedge() {
+        if (hedges >= MAX_HEDGES) {
+            return null;
+        }
+        for (Instance instance : candidates()) {
+            if (!refusedBy.contains(instance.id()) && !asked.contains(instance.id())) {
+                hedges++;
+                return ask(instance, Purpose.HEDGE);
+            }
+        }
+        return null;
+    }
+
+    private List<Instance> candidates() {
+        List<Instance> order = placement.order(fleet.get(), service, homeRegions);
+        order.removeIf(instance -> excluded.contains(instance.id()));
+        return order;
+    }
+
+    private Choice ask(Instance instance, Purpose purpose) {
+        asked.add(instance.id());
+        return new Choice(instance, purpose);
+    }
+
+    /** Whether a hedge was asked for. */
+    public boolean isHedged() {
+        return hedges > 0;
+    }
+
+    /** Whether no instance was left when the last choice was made. */
+    public boolean isExhausted() {
+        return exhausted;
+    }
+
+    /** Notes that an instance did not take the call; it may still be the last resort. */
+    public void refused(String instanceId) {
+        refusedBy.add(instanceId);
+    }
+
+    /** Notes that an instance had the call or can never take it. */
+    public void exclude(String instanceId) {
+        excluded.add(instanceId);
+    }
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
@@ -74,6 +74,11 @@
         return true;
     }
 
+    /** Returns what was paid for a call that was not sent after all. */
+    public void giveBack(String service) {
+        usage(service).repeats.takeBack(nanoTime.getAsLong());
+    }
+
     private Usage usage(String service) {
         return usageByService.computeIfAbsent(service, name -> new Usage(windowMillis, random.nextDouble()));
     }
--- /dev/null
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/HedgeDelay.java
@@ -0,0 +1,58 @@
+package io.jaywick.core.retry;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * When a second target is asked for the answer of an idempotent call that is late. The delay follows the time within
+ * which nearly all answers of the route arrive, so that few calls are hedged while the targets are well. Not thread-safe.
+ */
+public final class HedgeDelay {
+
+    /** Part of the answers that arrive within the tracked time. */
+    private static final double QUANTILE = 0.98;
+
+    /** Part of the tracked time by which one answer moves it; it follows a change of load within tens of answers. */
+    private static final double STEP = 0.1;
+
+    /** An answer that is a little late is mostly on its way. */
+    private static final double FACTOR = 1.25;
+
+    /** The second target needs about half of the tracked time; with less left the hedge would come too late. */
+    private static final double MIN_LEFT_FACTOR = 0.5;
+
+    /** First estimate in multiples of the first answer. */
+    private static final double FIRST_FACTOR = 2;
+
+    /** Shorter times are within the noise of a busy processor. */
+    private static final double MIN_MILLIS = 20;
+
+    private final Map<String, Double> millisByRoute = new HashMap<>();
+
+    /** Notes how long a target took to answer, from the sending of the call. */
+    public void observe(String route, double millis) {
+        Double known = millisByRoute.get(route);
+        double tracked;
+        if (known == null) {
+            tracked = FIRST_FACTOR * millis;
+        } else if (millis > known) {
+            tracked = known * (1 + STEP * QUANTILE);
+        } else {
+            tracked = known * (1 - STEP * (1 - QUANTILE));
+        }
+        millisByRoute.put(route, Math.max(MIN_MILLIS, tracked));
+    }
+
+    /**
+     * Returns the milliseconds after which a second target is asked, or -1 when no answer of the route has been seen or
+     * too little time would be left.
+     */
+    public long delayMillis(String route, long remainingMillis) {
+        Double tracked = millisByRoute.get(route);
+        if (tracked == null) {
+            return -1;
+        }
+        double delayMillis = FACTOR * tracked;
+        return delayMillis + MIN_LEFT_FACTOR * tracked > remainingMillis ? -1 : Math.round(delayMillis);
+    }
+}
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/WindowCount.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/WindowCount.java
@@ -22,6 +22,17 @@
         counts[index(newestSlice)]++;
     }
 
+    /** Takes the newest event back, if the window holds one. */
+    void takeBack(long nowNanos) {
+        advance(nowNanos);
+        for (long slice = newestSlice; slice >= newestSlice - SLICES; slice--) {
+            if (counts[index(slice)] > 0) {
+                counts[index(slice)]--;
+                return;
+            }
+        }
+    }
+
     long sum(long nowNanos) {
         advance(nowNanos);
         long sum = 0;
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -32,12 +32,24 @@
         }
 
         Call(String name, int priority, long objectiveMillis, long deadlineMillis, boolean trial, boolean foreign) {
+            this(name, priority, objectiveMillis, deadlineMillis, trial, false, foreign);
+        }
+
+        Call(
+                String name,
+                int priority,
+                long objectiveMillis,
+                long deadlineMillis,
+                boolean trial,
+                boolean hedge,
+                boolean foreign) {
             super(
                     "route",
                     priority,
                     nanos.get() + TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
                     nanos.get() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
                     trial,
+                    hedge,
                     foreign);
             this.name = name;
         }
@@ -141,6 +153,25 @@
         assertThat(gate.offer(new Call("last resort", 1, 1_000, 5_000, false, true)), nullValue());
     }
 
+    private Call hedge(String name) {
+        return new Call(name, 1, 1_000, 5_000, true, true, false);
+    }
+
+    /** Pattern power_off_all: hedges do not take the slots and the budget that first calls need. */
+    @Test
+    void hedgesUseWhatTheTargetCanSpare() {
+        gate.setSlots(4);
+        for (int i = 0; i < 3; i++) {
+            assertThat(gate.offer(hedge("hedge " + i)), nullValue());
+        }
+        assertThat(gate.offer(hedge("hedge")), is(GateRefusal.BUSY));
+        assertThat(gate.offer(call("first")), nullValue());
+        endRunning();
+        gate.setCold(TimeUnit.SECONDS.toNanos(60), 10);
+        assertThat(gate.offer(hedge("hedge at a cold target")), is(GateRefusal.BUSY));
+        assertThat(gate.offer(call("first at a cold target")), nullValue());
+    }
+
     /** Pattern quiet day: one long call among short ones does not send the next calls to another region. */
     @Test
     void oneLongCallDoesNotCloseAFreeSlot() {
@@ -169,6 +200,20 @@
         assertThat(gate.offer(new Call("trial", 1, 110, 800, true)), is(GateRefusal.BUSY));
     }
 
+    /** Pattern srv_slow: callers leave a slow target before it answers, and that shows that it is slow as well. */
+    @Test
+    void slowTargetIsSeenThoughItsCallersLeave() {
+        gate.setSlots(4);
+        for (int i = 0; i < 50; i++) {
+            Call call = call("short");
+            gate.offer(call);
+            pass(i < 30 ? 90 : 450);
+            gate.ended(call, i < 30);
+        }
+        gate.offer(call("running"));
+        assertThat(gate.offer(new Call("trial", 1, 110, 800, true)), is(GateRefusal.BUSY));
+    }
+
     /** Guards against a slow target that is avoided for ever because nobody sees that it has recovered. */
     @Test
     void idleTargetTakesATrialThoughItWasSlow() {
--- a/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
@@ -54,6 +54,18 @@
         }
     }
 
+    /** Guards against a budget that is used up by hedges which every instance refused. */
+    @Test
+    void whatWasNotSentIsGivenBack() {
+        FleetRetryBudget budget = budget(2);
+        while (budget.tryTake("s", 1)) {
+            nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
+        }
+        budget.giveBack("s");
+        assertThat(budget.tryTake("s", 1), is(true));
+        assertThat(budget.tryTake("s", 1), is(false));
+    }
+
     /**
      * Pattern answer_lost at a service whose runs call another one: the repeats of both together stay inside the budget
      * of the service called. A played day counted 839 arrivals of 807 allowed.
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -7,6 +7,7 @@
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.gate.GateCall;
 import io.jaywick.core.gate.GateRefusal;
+import io.jaywick.core.gate.RunningPriorities;
 import io.jaywick.core.gate.TargetGate;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.rules.ServiceRule;
@@ -26,6 +27,7 @@
     private final TargetGate gate;
     private final TargetPool pool;
     private final TargetHealth health;
+    private final RunningPriorities priorities = new RunningPriorities();
     private Instance current;
     private boolean watching;
     private boolean evacuated;
@@ -43,6 +45,11 @@
         leaving = true;
     }
 
+    /** Priorities of the calls that run at the target, which the calls that it makes inherit. */
+    RunningPriorities priorities() {
+        return priorities;
+    }
+
     int running() {
         return gate.running();
     }
@@ -219,6 +226,7 @@
                     context.nanoTime() + call.objectiveMillis() * NANOS_PER_MILLI,
                     context.nanoTime() + call.remainingMillis() * NANOS_PER_MILLI,
                     call.trial(),
+                    call.hedge(),
                     call.foreign());
             this.call = call;
             this.done = done;
@@ -231,6 +239,7 @@
 
         @Override
         protected void admitted() {
+            priorities.started(call.requestId(), call.priority());
             exchange = pool.send(call, () -> Math.max(1, remainingMillis()), this::answered);
         }
 
@@ -240,6 +249,7 @@
         }
 
         private void answered(CallResult result) {
+            priorities.ended(call.requestId());
             health.observe(result);
             if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
                 viewChanged();
@@ -262,6 +272,7 @@
             ended = true;
             gate.cancel(this);
             if (exchange != null) {
+                priorities.ended(call.requestId());
                 exchange.cancel();
                 gate.ended(this, false);
             }
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Offer.java
@@ -0,0 +1,39 @@
+package io.jaywick.node.relay;
+
+import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.placement.CallPlan;
+import io.jaywick.core.placement.Purpose;
+
+/** A call at one instance until its result. */
+final class Offer {
+
+    private final CallPlan.Choice choice;
+    private final long startNanos;
+    private PendingCall pending;
+
+    Offer(CallPlan.Choice choice, long startNanos) {
+        this.choice = choice;
+        this.startNanos = startNanos;
+    }
+
+    /** Notes the handle that ends the call there. */
+    void sent(PendingCall handle) {
+        pending = handle;
+    }
+
+    void cancel() {
+        pending.cancel();
+    }
+
+    Instance instance() {
+        return choice.instance();
+    }
+
+    Purpose purpose() {
+        return choice.purpose();
+    }
+
+    long startNanos() {
+        return startNanos;
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -1,7 +1,6 @@
 package io.jaywick.node.relay;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -11,31 +10,27 @@
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.placement.CallPlan;
 import io.jaywick.core.placement.Distance;
+import io.jaywick.core.placement.Purpose;
 import io.jaywick.core.rules.RouteRule;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * One request of a caller beside the node. The nearest instances are tried first, and each may refuse the call when it
- * would miss its latency objective there; then the least loaded one gets it. A call is sent to a second target only
- * when the first certainly did not run it, or when it is idempotent, and only within the fleet's retry budget.
+ * would miss its latency objective there; then the one that is expected to answer first gets it. A call is sent to a
+ * second target only when the first certainly did not run it, or when it is idempotent, and only within the fleet's
+ * retry budget. An idempotent call whose answer is late is hedged: a second target is asked while the first may still
+ * answer.
  */
 final class OutboundCall implements PendingCall {
 
-    /** Instances that are asked, nearest first, whether they can meet the objective; each costs a round trip. */
-    private static final int MAX_TRIALS = 4;
-
-    /** Instances that are asked to take a call that meets its objective nowhere. */
-    private static final int MAX_LAST_RESORTS = 2;
+    /** A hedge is taken where its answer is expected within this part of the time left. */
+    private static final double HEDGE_PART = 0.7;
 
     /** The answer that the target itself gives at the deadline still arrives in this time. */
     private static final long DEADLINE_SLACK_MILLIS = 150;
 
-    /** Least and greatest wait that a refused caller is told; its own deadlines are of about one second and more. */
-    private static final long MIN_RETRY_AFTER_MILLIS = 100;
-
-    private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
-
     /** Time for which an instance that refused a call because it leaves gets no further one. */
     private static final long LEAVING_AVOID_MILLIS = 1_000;
 
@@ -46,28 +41,25 @@
     private final ClientRequest request;
     private final Consumer<ClientAnswer> done;
     private final String requestId;
-    private final Set<String> refusedBy = new HashSet<>();
-    private final Set<String> refusedLastBy = new HashSet<>();
-    private final Set<String> sentTo = new HashSet<>();
+    private final CallAnswers answers;
+    private final CallHistory history = new CallHistory();
+    private final List<Offer> open = new ArrayList<>();
     private RouteRule route;
     private String service;
+    private int priority;
     private long deadlineNanos;
     private List<String> headers = List.of();
-    private final CallHistory history = new CallHistory();
-    private int trials;
+    private CallPlan plan;
     private int arrivals;
-    private boolean mayHaveRun;
-    private long leastExpectedMillis = -1;
-    private CallResult failure;
-    private PendingCall pending;
+    private ScheduledFuture<?> hedge;
     private ScheduledFuture<?> timeout;
     private boolean ended;
-    private String endReason = "";
 
     OutboundCall(OutboundCalls calls, ClientRequest request, Consumer<ClientAnswer> done) {
         this.calls = calls;
         this.request = request;
         this.done = done;
+        this.answers = new CallAnswers(calls.context().runtime().random());
         this.requestId = request.headers().get(calls.context().names().requestId());
     }
 
@@ -79,32 +71,13 @@
             return;
         }
         if (calls.isRefusing()) {
-            end(refusal("node-leaves"));
+            end(answers.refusal("node-leaves"));
             return;
         }
         if (!view.rules().isKnown()) {
-            if (!calls.awaitRules(this)) {
-                end(refusal("no-rules"));
-            }
+            end(answers.refusal("no-rules"));
             return;
         }
-        route(view);
-    }
-
-    /** Goes on, or is refused, when the rules are known or are no longer awaited. */
-    void rulesAwaited() {
-        if (ended) {
-            return;
-        }
-        FleetView view = calls.fleet();
-        if (view.rules().isKnown()) {
-            route(view);
-        } else {
-            end(refusal("no-rules"));
-        }
-    }
-
-    private void route(FleetView view) {
         route = view.rules().route(request.host(), request.uri());
         if (route == null) {
             end(ClientAnswer.own(ClientAnswer.NOT_FOUND, "no-route", 0));
@@ -114,6 +87,8 @@
                 request.millis(calls.context().names().deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
         deadlineNanos = request.receivedNanos() + allowedMillis * NANOS_PER_MILLI;
         service = calls.chooseService(route);
+        priority = calls.priorityOf(requestId, route);
+        plan = new CallPlan(calls.placement(), calls::fleet, service, route.homeRegions());
         calls.retries().countFirst(service);
         headers = forwardedHeaders();
         timeout = calls.context()
@@ -147,43 +122,23 @@
             return;
         }
         if (remainingMillis() <= 0) {
-            end(failure("deadline"));
-            return;
-        }
-        FleetView view = calls.fleet();
-        List<Instance> order = calls.placement().order(view, service, route.homeRegions());
-        order.removeIf(instance -> sentTo.contains(instance.id()));
-        Instance trial = nextTrial(order);
-        if (trial != null) {
-            trials++;
-            offer(trial, true);
+            end(answers.failure("deadline"));
             return;
         }
-        boolean none = order.isEmpty();
-        order.removeIf(instance -> refusedLastBy.contains(instance.id()));
-        Instance last = calls.placement().lastResort(view, order);
-        if (last == null || refusedLastBy.size() >= MAX_LAST_RESORTS) {
-            end(failure(none ? "no-instance" : "overloaded"));
-            return;
-        }
-        refusedLastBy.add(last.id());
-        offer(last, false);
-    }
-
-    private Instance nextTrial(List<Instance> order) {
-        if (trials >= MAX_TRIALS) {
-            return null;
-        }
-        for (Instance instance : order) {
-            if (!refusedBy.contains(instance.id())) {
-                return instance;
-            }
+        CallPlan.Choice choice = plan.next();
+        if (choice == null) {
+            end(answers.failure(plan.isExhausted() ? "no-instance" : "overloaded"));
+        } else {
+            offer(choice);
         }
-        return null;
     }
 
-    private void offer(Instance instance, boolean trial) {
-        long elapsedMillis = (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    private void offer(CallPlan.Choice choice) {
+        Instance instance = choice.instance();
+        Purpose purpose = choice.purpose();
+        long objectiveMillis = purpose == Purpose.HEDGE
+                ? Math.round(HEDGE_PART * remainingMillis())
+                : route.objectiveMillis() - elapsedMillis();
         ForwardCall call = new ForwardCall(
                 calls.nextCallId(),
                 requestId,
@@ -195,49 +150,91 @@
                 instance.id(),
                 route.name(),
                 route.idempotent(),
-                route.priority(),
-                route.objectiveMillis() - elapsedMillis,
+                priority,
+                objectiveMillis,
                 remainingMillis(),
-                trial,
+                purpose != Purpose.LAST_RESORT,
+                purpose == Purpose.HEDGE,
                 calls.placement().distance(instance) == Distance.OTHER_REGION);
+        Offer offer = new Offer(choice, calls.context().nanoTime());
+        open.add(offer);
         calls.placement().started(instance.id());
-        Offer offer = new Offer(instance);
-        PendingCall sent = calls.targetOf(instance).call(call, offer::ended);
-        if (!offer.isEnded) {
-            pending = () -> {
-                sent.cancel();
-                offer.drop();
-            };
+        offer.sent(calls.targetOf(instance).call(call, result -> offerEnded(offer, result)));
+        if (!ended && purpose != Purpose.HEDGE && open.contains(offer)) {
+            scheduleHedge();
         }
     }
 
-    /** A call at one instance until its result. */
-    private final class Offer {
-        private final Instance instance;
-        private boolean isEnded;
+    private void offerEnded(Offer offer, CallResult result) {
+        if (close(offer)) {
+            received(offer, result);
+        }
+    }
 
-        Offer(Instance instance) {
-            this.instance = instance;
+    private boolean close(Offer offer) {
+        if (!open.remove(offer)) {
+            return false;
         }
+        calls.placement().ended(offer.instance().id());
+        return true;
+    }
 
-        void drop() {
-            if (!isEnded) {
-                isEnded = true;
-                calls.placement().ended(instance.id());
+    private void cancelOpen() {
+        for (Offer offer : List.copyOf(open)) {
+            if (close(offer)) {
+                offer.cancel();
             }
         }
+    }
 
-        void ended(CallResult result) {
-            if (isEnded) {
-                return;
-            }
-            drop();
-            pending = null;
-            received(instance, result);
+    private long elapsedMillis() {
+        return (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+    }
+
+    private void scheduleHedge() {
+        cancelHedge();
+        long delayMillis = route.idempotent() ? calls.hedgeDelay().delayMillis(route.name(), remainingMillis()) : -1;
+        if (delayMillis >= 0) {
+            hedge = calls.context().runtime().loop().schedule(this::hedge, delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void cancelHedge() {
+        if (hedge != null) {
+            hedge.cancel(false);
+            hedge = null;
         }
     }
 
-    private void received(Instance instance, CallResult result) {
+    /** Asks a second instance while the first one may still answer. */
+    private void hedge() {
+        if (ended || open.size() != 1 || plan.isHedged() || arrivals + open.size() >= route.maxTargets()) {
+            return;
+        }
+        CallPlan.Choice choice = plan.nextHedge();
+        if (choice == null || !calls.retries().tryTake(service, calls.nodes())) {
+            return;
+        }
+        calls.meters().hedged();
+        calls.context()
+                .log()
+                .call(
+                        "call is hedged",
+                        "requestId",
+                        requestId,
+                        "route",
+                        route.name(),
+                        "lateInstance",
+                        open.get(0).instance().id(),
+                        "instance",
+                        choice.instance().id(),
+                        "elapsedMillis",
+                        elapsedMillis());
+        offer(choice);
+    }
+
+    private void received(Offer offer, CallResult result) {
+        Instance instance = offer.instance();
         if (result.expectedMillis() >= 0) {
             calls.placement().reported(instance.id(), result.expectedMillis());
         }
@@ -247,106 +244,109 @@
         calls.meters().attempt(result.outcome(), result.reason());
         history.add(instance.id(), result);
         switch (result.outcome()) {
-            case ANSWERED -> answered(instance, result);
-            case REFUSED -> refused(instance, result);
+            case ANSWERED -> answered(offer, result);
+            case REFUSED -> refused(offer, result);
             case SHED -> {
                 arrived(instance);
                 again(result);
             }
             case LOST -> {
                 arrived(instance);
-                mayHaveRun = true;
+                answers.mayHaveRun();
                 calls.placement().failed(instance.id());
                 again(result);
             }
             default -> {
-                mayHaveRun = true;
-                end(ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0));
+                answers.mayHaveRun();
+                if (open.isEmpty()) {
+                    end(ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0));
+                }
             }
         }
     }
 
     private void arrived(Instance instance) {
         arrivals++;
-        sentTo.add(instance.id());
+        plan.exclude(instance.id());
     }
 
-    private void answered(Instance instance, CallResult result) {
-        calls.placement().succeeded(instance.id());
-        arrived(instance);
-        if (result.status() >= STATUS_SERVER_FAILURE && route.idempotent() && mayTryAgain()) {
-            failure = result;
+    private void answered(Offer offer, CallResult result) {
+        calls.placement().succeeded(offer.instance().id());
+        arrived(offer.instance());
+        if (result.status() >= STATUS_SERVER_FAILURE && route.idempotent() && (!open.isEmpty() || mayTryAgain())) {
+            answers.failed(result);
             again(result);
             return;
         }
+        if (result.status() < STATUS_SERVER_FAILURE) {
+            long nanos = calls.context().nanoTime() - offer.startNanos();
+            calls.hedgeDelay().observe(route.name(), nanos / (double) NANOS_PER_MILLI);
+        }
         end(new ClientAnswer(result.status(), result.headers(), result.body(), 0));
     }
 
-    private void refused(Instance instance, CallResult result) {
-        refusedBy.add(instance.id());
-        if (result.expectedMillis() >= 0) {
-            leastExpectedMillis = leastExpectedMillis < 0
-                    ? result.expectedMillis()
-                    : Math.min(leastExpectedMillis, result.expectedMillis());
-        }
+    private void refused(Offer offer, CallResult result) {
+        Instance instance = offer.instance();
+        plan.refused(instance.id());
+        answers.refused(result);
         switch (result.reason()) {
             case "leaving", "unknown-instance" -> {
-                sentTo.add(instance.id());
+                plan.exclude(instance.id());
                 calls.placement().avoid(instance.id(), LEAVING_AVOID_MILLIS);
             }
             case "peer-unreachable", "target-down" -> {
-                sentTo.add(instance.id());
+                plan.exclude(instance.id());
                 calls.placement().failed(instance.id());
             }
             default -> {
                 // Busy and cold instances may still be asked to take the call as the last resort.
             }
         }
-        next();
+        if (open.isEmpty()) {
+            next();
+        } else if (offer.purpose() == Purpose.HEDGE) {
+            hedgeRefused();
+        }
+    }
+
+    private void hedgeRefused() {
+        CallPlan.Choice choice = plan.nextHedge();
+        if (choice == null) {
+            calls.retries().giveBack(service);
+        } else {
+            offer(choice);
+        }
     }
 
     private boolean mayTryAgain() {
         return arrivals < route.maxTargets() && remainingMillis() > 0;
     }
 
-    /** Goes on after an arrival that gave no answer, if the route and the budget allow it. */
+    /** Goes on after an arrival that gave no answer, if the route and the budget allow it and no hedge is under way. */
     private void again(CallResult result) {
-        boolean allowed = (result.provesNotRun() && !mayHaveRun || route.idempotent())
+        if (!open.isEmpty()) {
+            return;
+        }
+        boolean allowed = (result.provesNotRun() && answers.isNotRun() || route.idempotent())
                 && mayTryAgain()
                 && calls.retries().tryTake(service, calls.nodes());
         if (allowed) {
             calls.context().log().call("call is sent again", "requestId", requestId, "reason", result.reason());
             next();
         } else {
-            end(failure(result.reason()));
-        }
-    }
-
-    private ClientAnswer failure(String reason) {
-        endReason = reason;
-        if (failure != null) {
-            return new ClientAnswer(failure.status(), failure.headers(), failure.body(), 0);
+            end(answers.failure(result.reason()));
         }
-        return mayHaveRun ? ClientAnswer.own(ClientAnswer.BAD_GATEWAY, reason, 0) : refusal(reason);
-    }
-
-    private ClientAnswer refusal(String reason) {
-        endReason = reason;
-        long waitMillis = Math.max(MIN_RETRY_AFTER_MILLIS, Math.min(MAX_RETRY_AFTER_MILLIS, leastExpectedMillis));
-        // Callers that were refused together must not come back together.
-        long spreadMillis = calls.context().runtime().random().nextLong(waitMillis / 2 + 1);
-        return ClientAnswer.own(ClientAnswer.UNAVAILABLE, reason, waitMillis + spreadMillis);
     }
 
     private void deadlinePassed() {
         if (ended) {
             return;
         }
-        boolean sent = pending != null;
-        if (sent) {
-            pending.cancel();
-        }
-        end(sent || mayHaveRun ? ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0) : refusal("deadline"));
+        boolean sent = !open.isEmpty();
+        end(
+                sent || !answers.isNotRun()
+                        ? ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0)
+                        : answers.refusal("deadline"));
     }
 
     @Override
@@ -354,9 +354,6 @@
         if (ended) {
             return;
         }
-        if (pending != null) {
-            pending.cancel();
-        }
         calls.meters().cancelled();
         calls.context()
                 .log()
@@ -371,7 +368,7 @@
                         "instances",
                         history,
                         "elapsedMillis",
-                        (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI);
+                        elapsedMillis());
         finish();
     }
 
@@ -380,7 +377,7 @@
             return;
         }
         finish();
-        long millis = (calls.context().nanoTime() - request.receivedNanos()) / NANOS_PER_MILLI;
+        long millis = elapsedMillis();
         calls.meters().answered(route == null ? "" : route.name(), answer.status(), millis);
         if (answer.status() >= STATUS_SERVER_FAILURE) {
             calls.context()
@@ -398,7 +395,7 @@
                             "status",
                             answer.status(),
                             "reason",
-                            endReason,
+                            answers.reason(),
                             "instances",
                             history,
                             "elapsedMillis",
@@ -411,6 +408,8 @@
 
     private void finish() {
         ended = true;
+        cancelHedge();
+        cancelOpen();
         calls.ended();
         if (timeout != null) {
             timeout.cancel(false);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -1,12 +1,9 @@
 package io.jaywick.node.relay;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 import io.jaywick.core.fleet.FleetView;
@@ -14,6 +11,7 @@
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.Placement;
 import io.jaywick.core.retry.FleetRetryBudget;
+import io.jaywick.core.retry.HedgeDelay;
 import io.jaywick.core.routing.SmoothWeights;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.ServiceWeight;
@@ -21,31 +19,23 @@
 /** What all calls of the callers beside one node share. */
 final class OutboundCalls {
 
-    /** A node that starts reads the store within this time; a call that comes sooner waits for the rules. */
-    private static final long RULES_WAIT_MILLIS = 600;
-
-    /** Memory bound of the calls that wait for the rules. */
-    private static final int MAX_AWAITING = 256;
-
     private final RelayContext context;
     private final Placement placement;
     private final FleetRetryBudget retries;
-    private final CallTarget local;
+    private final HedgeDelay hedgeDelay = new HedgeDelay();
+    private final LocalTarget local;
     private final PeerCalls peers;
     private final RelayMeters meters;
     private final Map<String, SmoothWeights<ServiceWeight>> weights = new HashMap<>();
     private final int peerPort;
-    private final long startNanos;
-    private final List<OutboundCall> awaitingRules = new ArrayList<>();
     private boolean refusing;
     private int inFlight;
     private int nodes = 1;
     private long lastCallNumber;
 
-    OutboundCalls(RelayContext context, Placement placement, CallTarget local, PeerCalls peers, RelayMeters meters) {
+    OutboundCalls(RelayContext context, Placement placement, LocalTarget local, PeerCalls peers, RelayMeters meters) {
         RelaySettings settings = context.settings();
         this.context = context;
-        this.startNanos = context.nanoTime();
         this.placement = placement;
         this.retries = new FleetRetryBudget(
                 settings.retryRatio(),
@@ -67,36 +57,8 @@
         return call;
     }
 
-    /**
-     * Keeps a call until the rules are known or the time in which a starting node reads them is over.
-     *
-     * @return whether the call waits
-     */
-    boolean awaitRules(OutboundCall call) {
-        long leftMillis = RULES_WAIT_MILLIS - TimeUnit.NANOSECONDS.toMillis(context.nanoTime() - startNanos);
-        if (leftMillis <= 0 || awaitingRules.size() >= MAX_AWAITING) {
-            return false;
-        }
-        if (awaitingRules.isEmpty()) {
-            context.runtime().loop().schedule(this::releaseAwaiting, leftMillis, TimeUnit.MILLISECONDS);
-        }
-        awaitingRules.add(call);
-        return true;
-    }
-
-    private void releaseAwaiting() {
-        List<OutboundCall> released = List.copyOf(awaitingRules);
-        awaitingRules.clear();
-        for (OutboundCall call : released) {
-            call.rulesAwaited();
-        }
-    }
-
-    /** Forgets what belonged to instances that are gone, and routes the calls that waited for the rules. */
+    /** Forgets what belonged to instances that are gone. */
     void viewChanged() {
-        if (fleet().rules().isKnown()) {
-            releaseAwaiting();
-        }
         Set<String> ids = new HashSet<>();
         Set<String> hosts = new HashSet<>();
         for (Instance instance : context.fleet().get().instances()) {
@@ -119,6 +81,11 @@
                 .service();
     }
 
+    /** Priority of a call from this host, which may be made for a request that runs at the target beside the node. */
+    int priorityOf(String requestId, RouteRule route) {
+        return local.priorities().priorityOf(requestId, route.priority());
+    }
+
     CallTarget targetOf(Instance instance) {
         return placement.distance(instance) == Distance.SAME_INSTANCE
                 ? local
@@ -171,6 +138,10 @@
         return retries;
     }
 
+    HedgeDelay hedgeDelay() {
+        return hedgeDelay;
+    }
+
     RelayMeters meters() {
         return meters;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -18,10 +18,12 @@
     private final Map<String, Timer> latencies = new HashMap<>();
     private final Map<String, Counter> attempts = new HashMap<>();
     private final Counter cancelled;
+    private final Counter hedged;
 
     RelayMeters(MeterRegistry registry) {
         this.registry = registry;
         this.cancelled = registry.counter("jaywick.calls.cancelled");
+        this.hedged = registry.counter("jaywick.calls.hedged");
     }
 
     /** Counts the end of one call at one instance. */
@@ -57,6 +59,10 @@
                 .record(Duration.ofMillis(millis));
     }
 
+    void hedged() {
+        hedged.increment();
+    }
+
     void cancelled() {
         cancelled.increment();
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -90,6 +90,7 @@
                 TIMEOUT_MILLIS,
                 TIMEOUT_MILLIS,
                 false,
+                false,
                 false);
         pool.send(check, () -> TIMEOUT_MILLIS, this::answered);
     }
