Tell why a target's node refused a call; keep within the target's connections

On-call could see at the caller's node that an instance refused, not what that instance had: running and waiting calls, the cold budget, the time expected. The node beside the target now writes a line for a refusal, ten a second at most in a budget of its own, so that floods of trial refusals do not displace the lines of failed calls. max-connections of a service was decoded and never used; it now bounds the calls at the target.

Ruled out: one budget for both kinds of line.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -112,7 +112,10 @@
                 current == null || !current.id().equals(known.id()) || current.bornMillis() != known.bornMillis();
         boolean first = current == null;
         current = known;
-        gate.setSlots(known.slots());
+        ServiceRule rule =
+                context.fleet().get().rules().service(context.settings().service());
+        // Each running call has a connection of its own, and the target resets connections beyond its bound.
+        gate.setSlots(rule == null ? known.slots() : Math.min(known.slots(), rule.maxConnections()));
         long coldMillis = known.coldMillis(context.nanoTime());
         if (coldMillis > 0) {
             turnCold(coldMillis, "listed");
@@ -182,11 +185,42 @@
             watchQueue();
         }
         if (refusal != null) {
+            logRefusal(call, refusal);
             done.accept(CallResult.refused(refusal).withExpected(expectedMillis(call, refusal)));
         }
         return running::cancel;
     }
 
+    private void logRefusal(ForwardCall call, GateRefusal reason) {
+        context.log()
+                .refusal(
+                        "call refused at the target",
+                        "requestId",
+                        call.requestId(),
+                        "route",
+                        call.route(),
+                        "instance",
+                        call.instanceId(),
+                        "reason",
+                        reason.label(),
+                        "trial",
+                        call.trial(),
+                        "priority",
+                        call.priority(),
+                        "running",
+                        gate.running(),
+                        "waiting",
+                        gate.waiting(),
+                        "cold",
+                        gate.isCold(),
+                        "expectedMillis",
+                        gate.expectedMillis(call.priority()),
+                        "objectiveMillis",
+                        call.objectiveMillis(),
+                        "remainingMillis",
+                        call.remainingMillis());
+    }
+
     private GateRefusal refusal(ForwardCall call) {
         FleetView view = context.fleet().get();
         Instance chosen = view.instance(call.instanceId());
@@ -245,6 +279,7 @@
 
         @Override
         protected void refused(GateRefusal reason) {
+            logRefusal(call, reason);
             end(CallResult.refused(reason).withExpected(gate.expectedMillis(call.priority())));
         }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayLog.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayLog.java
@@ -15,18 +15,20 @@
     /** Lines about calls in each second; at about 20 microseconds a line they cost a thousandth of a core. */
     private static final int CALL_LINES_PER_SECOND = 50;
 
-    private static final long SECOND_NANOS = 1_000_000_000;
+    /**
+     * Lines about refusals at the target beside the node in each second. A call that fails names them too, at the caller's
+     * node; these lines add why, and in an overload there are many more of them than of failed calls.
+     */
+    private static final int REFUSAL_LINES_PER_SECOND = 10;
 
     private final System.Logger logger;
-    private final LongSupplier nanoTime;
-    private long secondStartNanos;
-    private int callLines;
-    private int leftOut;
+    private final LineBudget calls;
+    private final LineBudget refusals;
 
     public RelayLog(System.Logger logger, LongSupplier nanoTime) {
         this.logger = logger;
-        this.nanoTime = nanoTime;
-        this.secondStartNanos = nanoTime.getAsLong();
+        this.calls = new LineBudget(CALL_LINES_PER_SECOND, nanoTime);
+        this.refusals = new LineBudget(REFUSAL_LINES_PER_SECOND, nanoTime);
     }
 
     /** Notes a change of what the node believes; fields are names and values in turn. */
@@ -44,22 +46,22 @@
 
     /** Notes a decision about one call, within the budget. */
     public void call(String message, Object... fields) {
-        long now = nanoTime.getAsLong();
-        if (now - secondStartNanos >= SECOND_NANOS) {
-            int missing = leftOut;
-            secondStartNanos = now;
-            callLines = 0;
-            leftOut = 0;
-            if (missing > 0) {
-                change("call lines left out", "count", missing);
-            }
+        bounded(calls, "call lines left out", message, fields);
+    }
+
+    /** Notes that the target beside the node did not get a call, within a budget of its own. */
+    public void refusal(String message, Object... fields) {
+        bounded(refusals, "refusal lines left out", message, fields);
+    }
+
+    private void bounded(LineBudget budget, String leftOut, String message, Object... fields) {
+        int missing = budget.renew();
+        if (missing > 0) {
+            change(leftOut, "count", missing);
         }
-        if (callLines >= CALL_LINES_PER_SECOND) {
-            leftOut++;
-            return;
+        if (budget.tryTake()) {
+            write(System.Logger.Level.INFO, message, fields);
         }
-        callLines++;
-        write(System.Logger.Level.INFO, message, fields);
     }
 
     private void write(System.Logger.Level level, String message, Object... fields) {
