--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallAnswers.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallAnswers.java
@@ -51,6 +51,18 @@
         return reason;
     }
 
+    /** Passes on what a target answered. */
+    ClientAnswer passedOn(CallResult answer) {
+        reason = "target-answered";
+        return new ClientAnswer(answer.status(), answer.headers(), answer.body(), 0);
+    }
+
+    /** The answer at the deadline of a call that may have run. */
+    ClientAnswer timedOut() {
+        reason = "deadline";
+        return ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, reason, 0);
+    }
+
     /** The answer when the call cannot go on. */
     ClientAnswer failure(String why) {
         reason = why;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -259,7 +259,7 @@
             default -> {
                 answers.mayHaveRun();
                 if (open.isEmpty()) {
-                    end(ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0));
+                    end(answers.timedOut());
                 }
             }
         }
@@ -282,7 +282,7 @@
             long nanos = calls.context().nanoTime() - offer.startNanos();
             calls.hedgeDelay().observe(route.name(), nanos / (double) NANOS_PER_MILLI);
         }
-        end(new ClientAnswer(result.status(), result.headers(), result.body(), 0));
+        end(answers.passedOn(result));
     }
 
     private void refused(Offer offer, CallResult result) {
@@ -343,10 +343,7 @@
             return;
         }
         boolean sent = !open.isEmpty();
-        end(
-                sent || !answers.isNotRun()
-                        ? ClientAnswer.own(ClientAnswer.GATEWAY_TIMEOUT, "deadline", 0)
-                        : answers.refusal("deadline"));
+        end(sent || !answers.isNotRun() ? answers.timedOut() : answers.refusal("deadline"));
     }
 
     @Override
