--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -2,8 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
@@ -25,9 +23,6 @@
  */
 final class OutboundCall implements PendingCall {
 
-    /** A hedge is taken where its answer is expected within this part of the time left. */
-    private static final double HEDGE_PART = 0.7;
-
     /** The answer that the target itself gives at the deadline still arrives in this time. */
     private static final long DEADLINE_SLACK_MILLIS = 150;
 
@@ -44,11 +39,7 @@
     private final CallAnswers answers;
     private final CallHistory history = new CallHistory();
     private final List<Offer> open = new ArrayList<>();
-    private RouteRule route;
-    private String service;
-    private int priority;
-    private long deadlineNanos;
-    private List<String> headers = List.of();
+    private RoutedCall routed;
     private CallPlan plan;
     private int arrivals;
     private ScheduledFuture<?> hedge;
@@ -78,19 +69,14 @@
             end(answers.refusal("no-rules"));
             return;
         }
-        route = view.rules().route(request.host(), request.uri());
+        RouteRule route = view.rules().route(request.host(), request.uri());
         if (route == null) {
             end(ClientAnswer.own(ClientAnswer.NOT_FOUND, "no-route", 0));
             return;
         }
-        long allowedMillis = Math.min(
-                request.millis(calls.context().names().deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
-        deadlineNanos = request.receivedNanos() + allowedMillis * NANOS_PER_MILLI;
-        service = calls.chooseService(route);
-        priority = calls.priorityOf(requestId, route);
-        plan = new CallPlan(calls.placement(), calls::fleet, service, route.homeRegions());
-        calls.retries().countFirst(service);
-        headers = forwardedHeaders();
+        routed = RoutedCall.of(calls, request, requestId, route);
+        plan = new CallPlan(calls.placement(), calls::fleet, routed.service(), route.homeRegions());
+        calls.retries().countFirst(routed.service());
         timeout = calls.context()
                 .runtime()
                 .loop()
@@ -98,22 +84,8 @@
         next();
     }
 
-    private List<String> forwardedHeaders() {
-        HeaderNames names = calls.context().names();
-        List<String> copy = HopHeaders.copy(
-                request.headers(),
-                Set.of(
-                        names.callerService().toLowerCase(Locale.ROOT),
-                        names.expectedInstance().toLowerCase(Locale.ROOT),
-                        names.deadlineMillis().toLowerCase(Locale.ROOT)));
-        List<String> forwarded = new ArrayList<>(copy);
-        forwarded.add(names.callerService());
-        forwarded.add(calls.context().settings().service());
-        return forwarded;
-    }
-
     private long remainingMillis() {
-        return (deadlineNanos - calls.context().nanoTime()) / NANOS_PER_MILLI;
+        return routed.remainingMillis(calls.context().nanoTime());
     }
 
     /** Sends the call to the next instance, or ends it when there is none. */
@@ -135,32 +107,14 @@
 
     private void offer(CallPlan.Choice choice) {
         Instance instance = choice.instance();
-        Purpose purpose = choice.purpose();
-        long objectiveMillis = purpose == Purpose.HEDGE
-                ? Math.round(HEDGE_PART * remainingMillis())
-                : route.objectiveMillis() - elapsedMillis();
-        ForwardCall call = new ForwardCall(
-                calls.nextCallId(),
-                requestId,
-                request.method(),
-                request.uri(),
-                headers,
-                request.body(),
-                service,
-                instance.id(),
-                route.name(),
-                route.idempotent(),
-                priority,
-                objectiveMillis,
-                remainingMillis(),
-                purpose != Purpose.LAST_RESORT,
-                purpose == Purpose.HEDGE,
-                calls.placement().distance(instance) == Distance.OTHER_REGION);
-        Offer offer = new Offer(choice, calls.context().nanoTime());
+        long now = calls.context().nanoTime();
+        boolean foreign = calls.placement().distance(instance) == Distance.OTHER_REGION;
+        ForwardCall call = routed.offeredTo(choice, calls.nextCallId(), foreign, now);
+        Offer offer = new Offer(choice, now);
         open.add(offer);
         calls.placement().started(instance.id());
         offer.sent(calls.targetOf(instance).call(call, result -> offerEnded(offer, result)));
-        if (!ended && purpose != Purpose.HEDGE && open.contains(offer)) {
+        if (!ended && choice.purpose() != Purpose.HEDGE && open.contains(offer)) {
             scheduleHedge();
         }
     }
@@ -193,7 +147,9 @@
 
     private void scheduleHedge() {
         cancelHedge();
-        long delayMillis = route.idempotent() ? calls.hedgeDelay().delayMillis(route.name(), remainingMillis()) : -1;
+        long delayMillis = routed.route().idempotent()
+                ? calls.hedgeDelay().delayMillis(routed.route().name(), remainingMillis())
+                : -1;
         if (delayMillis >= 0) {
             hedge = calls.context().runtime().loop().schedule(this::hedge, delayMillis, TimeUnit.MILLISECONDS);
         }
@@ -208,11 +164,14 @@
 
     /** Asks a second instance while the first one may still answer. */
     private void hedge() {
-        if (ended || open.size() != 1 || plan.isHedged() || arrivals + open.size() >= route.maxTargets()) {
+        if (ended
+                || open.size() != 1
+                || plan.isHedged()
+                || arrivals + open.size() >= routed.route().maxTargets()) {
             return;
         }
         CallPlan.Choice choice = plan.nextHedge();
-        if (choice == null || !calls.retries().tryTake(service, calls.nodes())) {
+        if (choice == null || !calls.retries().tryTake(routed.service(), calls.nodes())) {
             return;
         }
         calls.meters().hedged();
@@ -223,7 +182,7 @@
                         "requestId",
                         requestId,
                         "route",
-                        route.name(),
+                        routed.route().name(),
                         "lateInstance",
                         open.get(0).instance().id(),
                         "instance",
@@ -273,14 +232,16 @@
     private void answered(Offer offer, CallResult result) {
         calls.placement().succeeded(offer.instance().id());
         arrived(offer.instance());
-        if (result.status() >= STATUS_SERVER_FAILURE && route.idempotent() && (!open.isEmpty() || mayTryAgain())) {
+        if (result.status() >= STATUS_SERVER_FAILURE
+                && routed.route().idempotent()
+                && (!open.isEmpty() || mayTryAgain())) {
             answers.failed(result);
             again(result);
             return;
         }
         if (result.status() < STATUS_SERVER_FAILURE) {
             long nanos = calls.context().nanoTime() - offer.startNanos();
-            calls.hedgeDelay().observe(route.name(), nanos / (double) NANOS_PER_MILLI);
+            calls.hedgeDelay().observe(routed.route().name(), nanos / (double) NANOS_PER_MILLI);
         }
         end(answers.passedOn(result));
     }
@@ -312,14 +273,14 @@
     private void hedgeRefused() {
         CallPlan.Choice choice = plan.nextHedge();
         if (choice == null) {
-            calls.retries().giveBack(service);
+            calls.retries().giveBack(routed.service());
         } else {
             offer(choice);
         }
     }
 
     private boolean mayTryAgain() {
-        return arrivals < route.maxTargets() && remainingMillis() > 0;
+        return arrivals < routed.route().maxTargets() && remainingMillis() > 0;
     }
 
     /** Goes on after an arrival that gave no answer, if the route and the budget allow it and no hedge is under way. */
@@ -327,9 +288,10 @@
         if (!open.isEmpty()) {
             return;
         }
-        boolean allowed = (result.provesNotRun() && answers.isNotRun() || route.idempotent())
-                && mayTryAgain()
-                && calls.retries().tryTake(service, calls.nodes());
+        boolean allowed =
+                (result.provesNotRun() && answers.isNotRun() || routed.route().idempotent())
+                        && mayTryAgain()
+                        && calls.retries().tryTake(routed.service(), calls.nodes());
         if (allowed) {
             calls.context().log().call("call is sent again", "requestId", requestId, "reason", result.reason());
             next();
@@ -359,9 +321,9 @@
                         "requestId",
                         requestId,
                         "route",
-                        route == null ? "" : route.name(),
+                        routeName(),
                         "service",
-                        service,
+                        serviceName(),
                         "instances",
                         history,
                         "elapsedMillis",
@@ -375,7 +337,7 @@
         }
         finish();
         long millis = elapsedMillis();
-        calls.meters().answered(route == null ? "" : route.name(), answer.status(), millis);
+        calls.meters().answered(routeName(), answer.status(), millis);
         if (answer.status() >= STATUS_SERVER_FAILURE) {
             calls.context()
                     .log()
@@ -384,9 +346,9 @@
                             "requestId",
                             requestId,
                             "route",
-                            route == null ? "" : route.name(),
+                            routeName(),
                             "service",
-                            service,
+                            serviceName(),
                             "rulesVersion",
                             calls.fleet().rules().version(),
                             "status",
@@ -398,11 +360,19 @@
                             "elapsedMillis",
                             millis,
                             "remainingMillis",
-                            route == null ? 0 : remainingMillis());
+                            routed == null ? 0 : remainingMillis());
         }
         done.accept(answer);
     }
 
+    private String routeName() {
+        return routed == null ? "" : routed.route().name();
+    }
+
+    private String serviceName() {
+        return routed == null ? "" : routed.service();
+    }
+
     private void finish() {
         ended = true;
         cancelHedge();
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
@@ -0,0 +1,90 @@
+package io.jaywick.node.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+
+import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.placement.CallPlan;
+import io.jaywick.core.placement.Purpose;
+import io.jaywick.core.rules.RouteRule;
+
+/**
+ * A request with what the rules say of it.
+ *
+ * @param priority 0 is the highest
+ * @param headers those that are forwarded, names and values in turn
+ * @param deadlineNanos monotonic moment at which the caller stops waiting
+ */
+record RoutedCall(
+        ClientRequest request,
+        String requestId,
+        RouteRule route,
+        String service,
+        int priority,
+        List<String> headers,
+        long deadlineNanos) {
+
+    /** A hedge is taken where its answer is expected within this part of the time left. */
+    private static final double HEDGE_PART = 0.7;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** Applies a route: chooses the service, and takes the earlier of the caller's deadline and the route's timeout. */
+    static RoutedCall of(OutboundCalls calls, ClientRequest request, String requestId, RouteRule route) {
+        HeaderNames names = calls.context().names();
+        long allowedMillis =
+                Math.min(request.millis(names.deadlineMillis(), route.timeoutMillis()), route.timeoutMillis());
+        return new RoutedCall(
+                request,
+                requestId,
+                route,
+                calls.chooseService(route),
+                calls.priorityOf(requestId, route),
+                forwarded(request, names, calls.context().settings().service()),
+                request.receivedNanos() + allowedMillis * NANOS_PER_MILLI);
+    }
+
+    private static List<String> forwarded(ClientRequest request, HeaderNames names, String callerService) {
+        List<String> forwarded = new ArrayList<>(HopHeaders.copy(
+                request.headers(),
+                Set.of(
+                        names.callerService().toLowerCase(Locale.ROOT),
+                        names.expectedInstance().toLowerCase(Locale.ROOT),
+                        names.deadlineMillis().toLowerCase(Locale.ROOT))));
+        forwarded.add(names.callerService());
+        forwarded.add(callerService);
+        return forwarded;
+    }
+
+    long remainingMillis(long nowNanos) {
+        return (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
+    }
+
+    /** The message that offers the call to an instance, from another region or not. */
+    ForwardCall offeredTo(CallPlan.Choice choice, String callId, boolean foreign, long nowNanos) {
+        Purpose purpose = choice.purpose();
+        long remainingMillis = remainingMillis(nowNanos);
+        long elapsedMillis = (nowNanos - request.receivedNanos()) / NANOS_PER_MILLI;
+        return new ForwardCall(
+                callId,
+                requestId,
+                request.method(),
+                request.uri(),
+                headers,
+                request.body(),
+                service,
+                choice.instance().id(),
+                route.name(),
+                route.idempotent(),
+                priority,
+                purpose == Purpose.HEDGE
+                        ? Math.round(HEDGE_PART * remainingMillis)
+                        : route.objectiveMillis() - elapsedMillis,
+                remainingMillis,
+                purpose != Purpose.LAST_RESORT,
+                purpose == Purpose.HEDGE,
+                foreign);
+    }
+}
