Bound the calls of a leaving node by one deadline; tell peers which calls it took

A leaving node took calls until 0.45 of its grace time whatever they needed, nothing under way knew of the end, and at the end connections closed without a word. Links between nodes closed the same way, so that calls which a peer had not taken counted as possibly run (502).

Change: LeaveDeadline is the end of the node as every decision sees it: new calls whose route is seldom answered within what is left are refused at once, offers to instances carry the capped time, and the gate refuses queued calls whose turn would come too late. What is left at the end is answered and logged. GoAway tells peers the last call taken; later ones are known not to have run. A failure that a target answered is never logged with an empty reason.

Ruled out: a target that was still at work (no server had the request).

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -41,6 +41,8 @@
     private boolean cold;
     private long coldUntilNanos;
     private double coldCallsPerSecond;
+    private boolean ending;
+    private long endNanos;
 
     public TargetGate(LongSupplier nanoTime) {
         this.nanoTime = nanoTime;
@@ -51,6 +53,17 @@
         pump();
     }
 
+    /** The node ends at the given moment: waiting calls that cannot be answered before are refused at once. */
+    public void endBy(long nanos) {
+        ending = true;
+        endNanos = nanos;
+        pump();
+    }
+
+    private long deadlineNanos(GateCall call) {
+        return ending && endNanos - call.deadlineNanos < 0 ? endNanos : call.deadlineNanos;
+    }
+
     /** Bounds the calls of each second until the given moment. */
     public void setCold(long untilNanos, double callsPerSecond) {
         cold = callsPerSecond > 0;
@@ -73,23 +86,23 @@
     /** Admits or queues a call, which is then told by its own methods, or returns why it is refused. */
     public GateRefusal offer(GateCall call) {
         long now = nanoTime.getAsLong();
-        if (now - call.deadlineNanos >= 0) {
+        if (now - deadlineNanos(call) >= 0) {
             return GateRefusal.DEADLINE;
         }
         boolean coldUsedUp = isColdBudgetUsedUp(now);
         boolean free = running < slots && waiting.isEmpty() && !coldUsedUp;
         double workMillis = times.millis(call.route);
-        double endNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
+        double answerNanos = now + (waitMillis(call.priority) + workMillis) * NANOS_PER_MILLI;
         double tolerated = call.objectiveNanos + (free ? FREE_SLOT_TOLERANCE * (call.objectiveNanos - now) : 0);
         // An idle target takes a trial call even if it was slow, or its recovery would never be seen.
-        if (call.trial && (running > 0 || coldUsedUp) && endNanos > tolerated) {
+        if (call.trial && (running > 0 || coldUsedUp) && answerNanos > tolerated) {
             return coldUsedUp ? GateRefusal.COLD : GateRefusal.BUSY;
         }
         boolean spare = running + waiting.size() < slots * SPARE_SHARE;
         if (call.trial && call.foreign && !spare || call.hedge && (!spare || isCold())) {
             return GateRefusal.BUSY;
         }
-        if (!free && (endNanos > call.deadlineNanos || waiting.size() >= MAX_WAITING)) {
+        if (!free && (answerNanos > deadlineNanos(call) || waiting.size() >= MAX_WAITING)) {
             return coldUsedUp ? GateRefusal.COLD : GateRefusal.OVERLOADED;
         }
         if (free) {
@@ -187,7 +200,7 @@
         for (GateCall call : order) {
             double workMillis = times.millis(call.route);
             double waitMillis = ahead == 0 ? 0 : waitMillis(ahead, aheadMillis, now);
-            if (now + (waitMillis + workMillis / 2) * NANOS_PER_MILLI > call.deadlineNanos) {
+            if (now + (waitMillis + workMillis / 2) * NANOS_PER_MILLI > deadlineNanos(call)) {
                 refuse(call, GateRefusal.DEADLINE);
             } else {
                 ahead++;
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/HedgeDelay.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/HedgeDelay.java
@@ -43,6 +43,11 @@
         millisByRoute.put(route, Math.max(MIN_MILLIS, tracked));
     }
 
+    /** Returns the time within which nearly all answers of the route arrive, 0 when none has been seen. */
+    public double nearlyAllMillis(String route) {
+        return millisByRoute.getOrDefault(route, 0.0);
+    }
+
     /**
      * Returns the milliseconds after which a second target is asked, or -1 when no answer of the route has been seen or
      * too little time would be left.
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -82,6 +82,18 @@
         nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
     }
 
+    /** Guards against calls that wait at a node that leaves until it is gone. */
+    @Test
+    void callsThatTheNodeCannotFinishAreRefusedWhenItLeaves() {
+        gate.setSlots(1);
+        gate.offer(call("runs"));
+        gate.offer(call("waits"));
+        gate.endBy(nanos.get() + TimeUnit.MILLISECONDS.toNanos(10));
+        assertThat(refused, contains("waits deadline"));
+        assertThat(gate.offer(call("comes late")), is(GateRefusal.OVERLOADED));
+        assertThat(gate.running(), is(1));
+    }
+
     /** Guards against more calls at the target than it has slots, which it would shed or never answer. */
     @Test
     void callsBeyondTheSlotsWait() {
--- a/jaywick-node/src/main/java/io/jaywick/node/frame/FrameCodec.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/frame/FrameCodec.java
@@ -25,7 +25,10 @@
 public final class FrameCodec {
 
     /** Protocol version that this build speaks. */
-    public static final int CURRENT = 2;
+    public static final int CURRENT = 3;
+
+    /** First protocol version whose nodes know {@code GoAway}. */
+    public static final int FIRST_WITH_GO_AWAY = 3;
 
     /** Length of the length field in bytes. */
     public static final int LENGTH_BYTES = 4;
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -11,6 +11,8 @@
 
 import io.jaywick.core.message.Digest;
 import io.jaywick.core.message.ErrorReply;
+import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.message.GoAway;
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.Ping;
@@ -46,6 +48,7 @@
     private boolean ready;
     private boolean closed;
     private long lastId = HELLO_ID;
+    private long lastTakenId = Long.MAX_VALUE;
     private int silentPings;
     private boolean pinging;
 
@@ -94,6 +97,10 @@
             if (closed) {
                 return null;
             }
+            if (message instanceof ForwardCall && lastTakenId != Long.MAX_VALUE) {
+                reply.completeExceptionally(new PeerException(PeerException.Kind.LEAVING, address + " leaves"));
+                return reply;
+            }
             // Digests repeat every second, so they give way first: half of the queue is closed to them.
             int capacity = message instanceof Digest ? limits.queueMessages() / 2 : limits.queueMessages();
             if (waiting.size() >= capacity) {
@@ -161,6 +168,8 @@
         if (frame.id() == HELLO_ID) {
             if (frame.message() instanceof Hello peer) {
                 greeted(peer);
+            } else if (frame.message() instanceof GoAway notice) {
+                goneAway(notice);
             } else {
                 end(new PeerException(PeerException.Kind.REFUSED, address + " answered " + frame.message()), true);
             }
@@ -192,6 +201,11 @@
         }
     }
 
+    /** The calls that the peer does not take are still answered as refused, unless the connection ends before. */
+    private synchronized void goneAway(GoAway notice) {
+        lastTakenId = Math.min(lastTakenId, notice.lastTakenId());
+    }
+
     private void transmit(long id) {
         Waiting request = waiting.get(id);
         boolean sent;
@@ -235,15 +249,17 @@
     }
 
     private void end(Throwable cause, boolean wasOpen) {
-        Waiting[] lost;
+        Map<Long, Waiting> lost;
         boolean greeted;
+        long taken;
         synchronized (this) {
             if (closed) {
                 return;
             }
             closed = true;
             greeted = ready;
-            lost = waiting.values().toArray(new Waiting[0]);
+            taken = lastTakenId;
+            lost = new HashMap<>(waiting);
             waiting.clear();
             unsent.clear();
         }
@@ -251,11 +267,18 @@
         if (channel != null) {
             channel.close();
         }
-        PeerException.Kind kind = greeted ? PeerException.Kind.DISCONNECTED : PeerException.Kind.UNREACHABLE;
-        for (Waiting request : lost) {
+        lost.forEach((id, request) -> {
             request.cancelTimer();
-            request.reply.completeExceptionally(new PeerException(kind, "connection to " + address, cause));
+            request.reply.completeExceptionally(
+                    new PeerException(endKind(greeted, id > taken), "connection to " + address, cause));
+        });
+    }
+
+    private static PeerException.Kind endKind(boolean greeted, boolean leftOut) {
+        if (!greeted) {
+            return PeerException.Kind.UNREACHABLE;
         }
+        return leftOut ? PeerException.Kind.LEAVING : PeerException.Kind.DISCONNECTED;
     }
 
     private static final class Waiting {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerException.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerException.java
@@ -27,6 +27,8 @@
         UNREACHABLE,
         /** The connection ended before the reply. */
         DISCONNECTED,
+        /** The peer leaves and has said that it does not take the call. */
+        LEAVING,
         /** No reply within the time allowed. */
         TIMEOUT,
         /** The outbound queue is full. */
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerServer.java
@@ -1,12 +1,11 @@
 package io.jaywick.node.peer;
 
 import java.net.InetSocketAddress;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
-import io.jaywick.core.message.Busy;
 import io.jaywick.core.message.ErrorReply;
 import io.jaywick.core.message.Hello;
-import io.jaywick.core.message.Message;
 import io.jaywick.core.message.MessageHandler;
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
@@ -22,13 +21,13 @@
  */
 public final class PeerServer implements AutoCloseable {
 
-    private static final long BUSY_MILLIS = 200;
-
     private final DisposableServer server;
     private final FrameCodec codec;
     private final MessageHandler handler;
     private final PeerTraffic traffic;
     private final LinkLimits limits;
+    private final Set<AcceptedConnection> open = ConcurrentHashMap.newKeySet();
+    private volatile boolean leaving;
 
     /** Binds the address HOST:PORT; port 0 takes a free port. */
     public PeerServer(
@@ -58,38 +57,37 @@
 
     private void accept(Connection connection) {
         FrameChannel channel = new FrameChannel(connection, codec, traffic, limits);
-        AtomicInteger running = new AtomicInteger();
-        channel.receive(frame -> answer(channel, running, frame), fault -> refuse(channel, fault));
+        AcceptedConnection accepted = new AcceptedConnection(channel, handler, codec, limits);
+        open.add(accepted);
+        channel.onClose(() -> open.remove(accepted));
+        channel.receive(frame -> answer(accepted, frame), fault -> refuse(channel, fault));
     }
 
-    private void answer(FrameChannel channel, AtomicInteger running, Frame frame) {
+    private void answer(AcceptedConnection accepted, Frame frame) {
         if (frame.message() instanceof Hello hello
                 && (hello.minVersion() > codec.maxVersion() || hello.maxVersion() < codec.minVersion())) {
-            channel.sendAndClose(
-                    frame.version(),
-                    frame.id(),
-                    new ErrorReply("bad-version", "accepted are " + codec.minVersion() + " to " + codec.maxVersion()));
+            accepted.channel()
+                    .sendAndClose(
+                            frame.version(),
+                            frame.id(),
+                            new ErrorReply(
+                                    "bad-version", "accepted are " + codec.minVersion() + " to " + codec.maxVersion()));
             return;
         }
-        if (running.incrementAndGet() > limits.queueMessages()) {
-            running.decrementAndGet();
-            reply(channel, frame, new Busy(BUSY_MILLIS));
-            return;
+        accepted.answer(frame);
+        if (leaving && frame.message() instanceof Hello) {
+            accepted.goAway();
         }
-        handler.handle(frame.message()).whenComplete((message, failure) -> {
-            running.decrementAndGet();
-            reply(channel, frame, failure == null ? message : new ErrorReply("refused", failure.toString()));
-        });
     }
 
-    private static void reply(FrameChannel channel, Frame frame, Message message) {
-        try {
-            if (!channel.send(frame.version(), frame.id(), message)) {
-                // The peer does not read its replies; it must not hold memory of this node.
-                channel.close();
-            }
-        } catch (FrameException e) {
-            channel.send(frame.version(), frame.id(), new ErrorReply(e.kind(), e.getMessage()));
+    /**
+     * Tells every peer that calls which come from now on are not taken. Their handler must refuse them from this moment
+     * on.
+     */
+    public void goAway() {
+        leaving = true;
+        for (AcceptedConnection accepted : open) {
+            accepted.channel().channel().eventLoop().execute(accepted::goAway);
         }
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallAnswers.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallAnswers.java
@@ -65,10 +65,11 @@
 
     /** The answer when the call cannot go on. */
     ClientAnswer failure(String why) {
-        reason = why;
         if (failure != null) {
+            reason = "target-answered";
             return new ClientAnswer(failure.status(), failure.headers(), failure.body(), 0);
         }
+        reason = why;
         return mayHaveRun ? ClientAnswer.own(ClientAnswer.BAD_GATEWAY, why, 0) : refusal(why);
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -7,7 +7,7 @@
 /**
  * What became of one call at one instance.
  *
- * @param reason short fixed text for logs and metrics; empty for an answer
+ * @param reason short fixed text for logs and metrics; that of an answer is its status
  * @param status HTTP status of an answer, else 0
  * @param headers names and values in turn, of an answer only
  * @param expectedMillis time until the answer of a call that comes to the instance now; -1 when unknown
@@ -35,7 +35,7 @@
     }
 
     static CallResult answered(int status, List<String> headers, byte[] body) {
-        return new CallResult(Outcome.ANSWERED, "", status, headers, body, -1);
+        return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1);
     }
 
     static CallResult shed(String reason) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -40,9 +40,15 @@
         this.health = new TargetHealth(context, pool, millis -> turnCold(millis, "health"));
     }
 
-    /** Refuses further calls; those that wait or run go on. */
-    void leave() {
+    /** Refuses further calls; those that run go on, and those that wait while they can be answered before the end. */
+    void leave(long endNanos) {
         leaving = true;
+        gate.endBy(endNanos);
+    }
+
+    /** The node ends: what still waits has not run. */
+    void refuseWaiting() {
+        gate.refuseWaiting(GateRefusal.LEAVING);
     }
 
     /** Priorities of the calls that run at the target, which the calls that it makes inherit. */
@@ -268,7 +274,7 @@
         }
 
         private long remainingMillis() {
-            return (deadlineNanos - context.nanoTime()) / NANOS_PER_MILLI;
+            return (context.leave().cap(deadlineNanos) - context.nanoTime()) / NANOS_PER_MILLI;
         }
 
         @Override
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -55,16 +55,12 @@
     }
 
     void start() {
-        calls.started();
+        calls.started(this);
         FleetView view = calls.fleet();
         if (requestId == null || requestId.isEmpty()) {
             end(ClientAnswer.own(ClientAnswer.BAD_REQUEST, "no-request-id", 0));
             return;
         }
-        if (calls.isRefusing()) {
-            end(answers.refusal("node-leaves"));
-            return;
-        }
         if (!view.rules().isKnown()) {
             end(answers.refusal("no-rules"));
             return;
@@ -74,6 +70,10 @@
             end(ClientAnswer.own(ClientAnswer.NOT_FOUND, "no-route", 0));
             return;
         }
+        if (!calls.mayTake(route)) {
+            end(answers.refusal("node-leaves"));
+            return;
+        }
         routed = RoutedCall.of(calls, request, requestId, route);
         plan = new CallPlan(calls.placement(), calls::fleet, routed.service(), route.homeRegions());
         calls.retries().countFirst(routed.service());
@@ -85,7 +85,8 @@
     }
 
     private long remainingMillis() {
-        return routed.remainingMillis(calls.context().nanoTime());
+        long deadlineNanos = calls.context().leave().cap(routed.deadlineNanos());
+        return (deadlineNanos - calls.context().nanoTime()) / NANOS_PER_MILLI;
     }
 
     /** Sends the call to the next instance, or ends it when there is none. */
@@ -109,7 +110,7 @@
         Instance instance = choice.instance();
         long now = calls.context().nanoTime();
         boolean foreign = calls.placement().distance(instance) == Distance.OTHER_REGION;
-        ForwardCall call = routed.offeredTo(choice, calls.nextCallId(), foreign, now);
+        ForwardCall call = routed.offeredTo(choice, calls.nextCallId(), foreign, now, remainingMillis());
         Offer offer = new Offer(choice, now);
         open.add(offer);
         calls.placement().started(instance.id());
@@ -308,6 +309,17 @@
         end(sent || !answers.isNotRun() ? answers.timedOut() : answers.refusal("deadline"));
     }
 
+    /** The node ends now: its caller is told what is known of the call instead of a closed connection. */
+    void nodeEnds() {
+        if (ended) {
+            return;
+        }
+        if (!open.isEmpty()) {
+            answers.mayHaveRun();
+        }
+        end(answers.failure("node-ends"));
+    }
+
     @Override
     public void cancel() {
         if (ended) {
@@ -377,7 +389,7 @@
         ended = true;
         cancelHedge();
         cancelOpen();
-        calls.ended();
+        calls.ended(this);
         if (timeout != null) {
             timeout.cancel(false);
         }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -2,6 +2,8 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -28,8 +30,8 @@
     private final RelayMeters meters;
     private final Map<String, SmoothWeights<ServiceWeight>> weights = new HashMap<>();
     private final int peerPort;
+    private final Set<OutboundCall> active = new LinkedHashSet<>();
     private boolean refusing;
-    private int inFlight;
     private int nodes = 1;
     private long lastCallNumber;
 
@@ -102,20 +104,30 @@
         refusing = true;
     }
 
-    boolean isRefusing() {
-        return refusing;
+    /** Whether a new call of the route can probably be answered before the node ends. */
+    boolean mayTake(RouteRule route) {
+        LeaveDeadline leave = context.leave();
+        return !leave.isSet()
+                || !refusing && hedgeDelay.nearlyAllMillis(route.name()) <= leave.remainingMillis(context.nanoTime());
     }
 
-    void started() {
-        inFlight++;
+    void started(OutboundCall call) {
+        active.add(call);
     }
 
-    void ended() {
-        inFlight--;
+    void ended(OutboundCall call) {
+        active.remove(call);
     }
 
     int inFlight() {
-        return inFlight;
+        return active.size();
+    }
+
+    /** The node ends: answers what is still under way. */
+    void endAll() {
+        for (OutboundCall call : List.copyOf(active)) {
+            call.nodeEnds();
+        }
     }
 
     int nodes() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 
+import io.jaywick.core.gate.GateRefusal;
 import io.jaywick.core.message.ForwardAnswer;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.message.ForwardCancel;
@@ -45,6 +46,16 @@
         return taken.size();
     }
 
+    /** The node ends: tells the senders of the calls under way that their answers are lost. */
+    void endAll() {
+        taken.forEach((callId, call) -> {
+            log.call("call of a peer is cut", "callId", callId, "reason", "node-ends");
+            call.pending.cancel();
+            call.reply.complete(answer(CallResult.lost("node-ends")));
+        });
+        taken.clear();
+    }
+
     /** Returns the way to the target beside another node. */
     CallTarget at(String peerAddress) {
         return (call, done) -> {
@@ -84,12 +95,16 @@
         return CallResult.refused("peer-busy");
     }
 
-    /** Only a connection that was never made, or a full queue, proves that the call did not leave this node. */
+    /**
+     * A connection that was never made or a full queue proves that the call did not leave this node, and a peer that
+     * leaves says which calls it did not take.
+     */
     private static CallResult failed(Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         if (cause instanceof PeerException known) {
             return switch (known.kind()) {
                 case UNREACHABLE, QUEUE_FULL -> CallResult.refused("peer-unreachable");
+                case LEAVING -> CallResult.refused(GateRefusal.LEAVING);
                 case TIMEOUT -> CallResult.timedOut();
                 case DISCONNECTED, REFUSED -> CallResult.lost("peer-disconnected");
             };
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -67,6 +67,9 @@
     /** The process ends this long before it would be killed. */
     private static final long LEAVE_MARGIN_MILLIS = 500;
 
+    /** Calls are promised an answer until this long before the end, so that a target's own late answer still passes. */
+    private static final long LEAVE_ANSWER_MILLIS = 150;
+
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
 
@@ -85,15 +88,17 @@
     private final LongSupplier nanoTime;
     private final SourceExchange source;
     private Function<SourceQuery, SourceState> known;
+    private final LeaveDeadline leaveDeadline = new LeaveDeadline();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile FleetView view = new FleetView(RuleSet.EMPTY, List.of(), Set.of());
     private volatile boolean isReady;
     private volatile boolean leaving;
     private long leaveStartNanos;
+    private boolean cut;
 
     public Relay(RelaySettings settings, HeaderNames names, NodeRuntime runtime, PrometheusMeterRegistry registry) {
         requireAddresses(settings);
-        RelayContext context = new RelayContext(settings, names, () -> view, runtime);
+        RelayContext context = new RelayContext(settings, names, () -> view, runtime, leaveDeadline);
         LoopResources loops = runtime.loops();
         this.settings = settings;
         this.log = runtime.log();
@@ -224,7 +229,10 @@
             leaving = true;
             leaveStartNanos = nanoTime.getAsLong();
             log.change("node leaves", "callsUnderWay", calls.inFlight(), "takenFromPeers", peers.taken());
-            local.leave();
+            long lastMillis = settings.graceMillis() - LEAVE_MARGIN_MILLIS - LEAVE_ANSWER_MILLIS;
+            leaveDeadline.set(leaveStartNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, lastMillis)));
+            local.leave(leaveDeadline.endNanos());
+            peerServer.goAway();
             clients.leave();
             loop.scheduleAtFixedRate(this::checkLeft, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
@@ -242,12 +250,26 @@
         }
         clients.closeIdle();
         boolean idle = !clients.hasBusyConnections() && local.running() == 0 && peers.taken() == 0;
-        if ((idle || last) && !stopped.isDone()) {
-            log.change("node has left", "afterMillis", elapsedMillis, "cutCalls", calls.inFlight());
+        if (stopped.isDone()) {
+            return;
+        }
+        if (idle || cut) {
+            log.change("node has left", "afterMillis", elapsedMillis);
             stopped.complete(null);
+        } else if (last) {
+            cutCalls(elapsedMillis);
         }
     }
 
+    /** Ends what is still under way; the answers are written before the process ends at the next look. */
+    private void cutCalls(long elapsedMillis) {
+        cut = true;
+        log.change("calls are cut", "afterMillis", elapsedMillis, "calls", calls.inFlight(), "ofPeers", peers.taken());
+        local.refuseWaiting();
+        calls.endAll();
+        peers.endAll();
+    }
+
     @Override
     public void close() {
         clients.close();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
@@ -58,14 +58,13 @@
         return forwarded;
     }
 
-    long remainingMillis(long nowNanos) {
-        return (deadlineNanos - nowNanos) / NANOS_PER_MILLI;
-    }
-
-    /** The message that offers the call to an instance, from another region or not. */
-    ForwardCall offeredTo(CallPlan.Choice choice, String callId, boolean foreign, long nowNanos) {
+    /**
+     * The message that offers the call to an instance, from another region or not.
+     *
+     * @param remainingMillis time that the instance may take
+     */
+    ForwardCall offeredTo(CallPlan.Choice choice, String callId, boolean foreign, long nowNanos, long remainingMillis) {
         Purpose purpose = choice.purpose();
-        long remainingMillis = remainingMillis(nowNanos);
         long elapsedMillis = (nowNanos - request.receivedNanos()) / NANOS_PER_MILLI;
         return new ForwardCall(
                 callId,
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
@@ -9,12 +9,16 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.message.Ack;
 import io.jaywick.core.message.Announce;
 import io.jaywick.core.message.ErrorReply;
 import io.jaywick.core.message.FleetQuery;
+import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.message.GoAway;
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerEntry;
@@ -168,6 +172,71 @@
         assertThat(again.getCause(), instanceOf(PeerException.class));
     }
 
+    /** Guards against a call that never ran and counts as lost because its peer left while it was on its way. */
+    @Test
+    void callsThatALeavingPeerDidNotTakeAreNotLost() throws Exception {
+        try (ServerSocket peer =
+                new ServerSocket(0, 1, PeerAddress.parse("127.0.0.1:1").getAddress())) {
+            TcpPeerLink link = link(new FrameCodec());
+            String address = "127.0.0.1:" + peer.getLocalPort();
+            CompletableFuture<Message> taken = link.request(address, forwardCall("taken"));
+            CompletableFuture<Message> left = link.request(address, forwardCall("left"));
+            FrameCodec codec = new FrameCodec();
+            try (Socket socket = peer.accept()) {
+                DataInputStream in = new DataInputStream(socket.getInputStream());
+                in.readNBytes(in.readInt());
+                Hello hello = new Hello(codec.minVersion(), codec.maxVersion(), SELF);
+                socket.getOutputStream().write(codec.encode(codec.maxVersion(), 0, hello));
+                long firstId = codec.decode(in.readNBytes(in.readInt())).id();
+                in.readNBytes(in.readInt());
+                socket.getOutputStream().write(codec.encode(codec.maxVersion(), 0, new GoAway(firstId)));
+            }
+            assertKind(taken, PeerException.Kind.DISCONNECTED);
+            assertKind(left, PeerException.Kind.LEAVING);
+        }
+    }
+
+    /** Guards against further calls to a peer that has said that it leaves. */
+    @Test
+    void peerThatLeavesGetsNoFurtherCalls() throws Exception {
+        CompletableFuture<Message> running = new CompletableFuture<>();
+        CountDownLatch taken = new CountDownLatch(1);
+        handlers.register(ForwardCall.class, message -> {
+            taken.countDown();
+            return running;
+        });
+        PeerServer server = server(new FrameCodec());
+        TcpPeerLink link = link(new FrameCodec());
+        CompletableFuture<Message> first = link.request(server.address(), forwardCall("first"));
+        assertThat(taken.await(20, TimeUnit.SECONDS), is(true));
+        server.goAway();
+        // The reply to the announcement comes after the notice.
+        link.request(server.address(), announce()).get();
+        assertKind(link.request(server.address(), forwardCall("late")), PeerException.Kind.LEAVING);
+        running.complete(new Ack("s2"));
+        assertThat(first.get(), is(new Ack("s2")));
+    }
+
+    private static ForwardCall forwardCall(String callId) {
+        return new ForwardCall(
+                callId,
+                "id",
+                "GET",
+                "/",
+                List.of(),
+                new byte[0],
+                "svc",
+                "i",
+                "r",
+                true,
+                1,
+                100,
+                100,
+                true,
+                false,
+                false);
+    }
+
     @Test
     void addressThatIsNoIpAddressFails() {
         assertKind(link(new FrameCodec()).request("localhost:1", announce()), PeerException.Kind.UNREACHABLE);
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/CallAnswersTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/CallAnswersTestCase.java
@@ -29,6 +29,7 @@
         answers.failed(CallResult.answered(500, List.of("A", "b"), new byte[0]));
         answers.mayHaveRun();
         assertThat(answers.failure("overloaded").status(), is(500));
+        assertThat(answers.reason(), is("target-answered"));
     }
 
     /** Guards against callers that come back before any instance expects to have room, or all at once. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -26,6 +26,9 @@
 
     private static final long SHORT_TIMEOUT_MILLIS = 400;
 
+    /** Half of the grace time of the fixture's nodes, so that nearly all answers are expected within all of it. */
+    private static final long SLOW_ANSWER_MILLIS = 1_000;
+
     /** Longer than a pause between two calls under load, shorter than the idle timeout of any target. */
     private static final long IDLE_MILLIS = 400;
 
@@ -283,6 +286,66 @@
         assertThat(answer, containsString("node-leaves"));
     }
 
+    /** Guards against a caller whose connection closes without a word when the grace time of its node is over. */
+    @Test
+    void endOfItsNodeIsToldToTheCaller() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch never = new CountDownLatch(1);
+        fixture.target.script((request, out) -> {
+            running.countDown();
+            never.await();
+            return false;
+        });
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request("POST", "/unsafe/1", "a", "").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(running.await(20, TimeUnit.SECONDS), is(true));
+            fixture.caller.leave();
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer, startsWith("HTTP/1.1 502 "));
+            assertThat(answer, containsString("node-ends"));
+        }
+        never.countDown();
+    }
+
+    /** Guards against a caller that waits for its deadline when the node beside the target has ended. */
+    @Test
+    void endOfTheTargetsNodeIsToldToTheCaller() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch never = new CountDownLatch(1);
+        fixture.target.script((request, out) -> {
+            running.countDown();
+            never.await();
+            return false;
+        });
+        try (Socket socket = fixture.connect()) {
+            socket.getOutputStream().write(request("POST", "/unsafe/1", "a", "").getBytes(StandardCharsets.ISO_8859_1));
+            assertThat(running.await(20, TimeUnit.SECONDS), is(true));
+            fixture.other.leave().get(20, TimeUnit.SECONDS);
+            String answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat(answer, startsWith("HTTP/1.1 502 "));
+            assertThat(answer, containsString("node-ends"));
+        }
+        never.countDown();
+    }
+
+    /** Guards against a call that a leaving node takes although its route needs longer than the node has. */
+    @Test
+    void leavingNodeTakesOnlyWhatItExpectsToFinish() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> {
+            Thread.sleep(SLOW_ANSWER_MILLIS);
+            return FakeTarget.write(out, FakeTarget.answer(request, 200, "done"));
+        });
+        assertThat(call("GET", "/safe/1", "a", ""), startsWith("HTTP/1.1 200 "));
+        fixture.caller.leave();
+        String answer = call("GET", "/safe/2", "b", "");
+        assertThat(answer, startsWith("HTTP/1.1 503 "));
+        assertThat(answer, containsString("node-leaves"));
+        assertThat(fixture.target.calls(), hasSize(1));
+    }
+
     /** Guards against a node that sends calls to a data centre or a server that leaves, whoever still believes in it. */
     @Test
     void nodeBesideALeavingInstanceHasTheLastWord() throws IOException {
