Let one node read the store and the others follow it over the existing links

An upstream that is silent, or that is itself not in touch, is left out; after two in a row a node asks the store itself.

--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -81,8 +81,20 @@
 
     /** Notes that the platform answers again after it was out of reach. */
     public void regained() {
-        inGrace = true;
-        graceUntilNanos = nanoTime.getAsLong() + LAPSE_GRACE_MILLIS * NANOS_PER_MILLI;
+        keepVanished(LAPSE_GRACE_MILLIS);
+    }
+
+    /** Keeps the entries that vanish within the given time; a shorter time than the one under way changes nothing. */
+    public void keepVanished(long millis) {
+        if (millis > graceMillis()) {
+            inGrace = true;
+            graceUntilNanos = nanoTime.getAsLong() + millis * NANOS_PER_MILLI;
+        }
+    }
+
+    /** How much longer single entries that vanish are kept; 0 when the platform was in reach all the while. */
+    public long graceMillis() {
+        return inGrace ? Math.max(0, (graceUntilNanos - nanoTime.getAsLong()) / NANOS_PER_MILLI) : 0;
     }
 
     /** Drops vanished entries whose grace period is over; returns whether there were any. */
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -16,6 +16,7 @@
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.Ping;
+import io.jaywick.core.message.SourceQuery;
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.frame.FrameException;
@@ -146,7 +147,7 @@
     /** Runs on the thread of the connection, like {@link #received}. */
     private void ping() {
         synchronized (this) {
-            if (closed || waiting.isEmpty()) {
+            if (closed || waiting.values().stream().noneMatch(Waiting::needsPing)) {
                 pinging = false;
                 silentPings = 0;
                 return;
@@ -223,7 +224,7 @@
             return;
         }
         request.timer = expire(id);
-        if (limits.pingMillis() > 0 && !pinging) {
+        if (limits.pingMillis() > 0 && !pinging && request.needsPing()) {
             schedulePing();
         }
     }
@@ -291,6 +292,11 @@
             this.reply = reply;
         }
 
+        /** A question that waits at the peer has an end of its own, which the asking side watches. */
+        boolean needsPing() {
+            return !(message instanceof SourceQuery query && query.waitMillis() > 0);
+        }
+
         void cancelTimer() {
             if (timer != null) {
                 timer.cancel(false);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -5,7 +5,6 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 
 import io.jaywick.core.fleet.FleetView;
@@ -87,7 +86,7 @@
     private final DisposableServer metrics;
     private final LongSupplier nanoTime;
     private final SourceExchange source;
-    private Function<SourceQuery, SourceState> known;
+    private final LateKnowledge known = new LateKnowledge();
     private final LeaveDeadline leaveDeadline = new LeaveDeadline();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private volatile FleetView view = new FleetView(RuleSet.EMPTY, List.of(), Set.of());
@@ -125,14 +124,8 @@
                 settings.regionByDataCentre(),
                 nanoTime,
                 runtime.random());
-        this.source = new SourceExchange(
-                link,
-                () -> view,
-                placement,
-                address(settings.peerAddress()).getPort(),
-                settings.seedHosts(),
-                runtime.random());
-        source.answer(handlers, query -> known == null ? null : known.apply(query));
+        this.source = SourceExchange.of(settings, link, () -> view, placement, runtime, known);
+        handlers.register(SourceQuery.class, message -> source.answer((SourceQuery) message));
         this.calls = new OutboundCalls(context, placement, local, peers, new RelayMeters(registry));
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
         this.clients = new ClientListener(context, calls);
@@ -206,12 +199,27 @@
         });
     }
 
-    /** Lets this node ask its peers for what the source published, and answer their questions from the given function. */
-    public PeerSource exchange(Function<SourceQuery, SourceState> newer) {
-        known = newer;
+    /** Lets this node ask and follow its peers, and answers their questions from what it holds. */
+    public PeerSource exchange(SourceKnowledge knowledge) {
+        known.knowledge = knowledge;
         return source;
     }
 
+    /** What is known of the source, once a reader of the source is there. */
+    private static final class LateKnowledge implements SourceKnowledge {
+        private SourceKnowledge knowledge;
+
+        @Override
+        public SourceState newerThan(SourceQuery query) {
+            return knowledge == null ? null : knowledge.newerThan(query);
+        }
+
+        @Override
+        public boolean isInTouch() {
+            return knowledge != null && knowledge.isInTouch();
+        }
+    }
+
     /** Address at which callers beside the node send their calls. */
     public InetSocketAddress outboundAddress() {
         return clients.address();
@@ -233,6 +241,7 @@
             leaveDeadline.set(leaveStartNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, lastMillis)));
             local.leave(leaveDeadline.endNanos());
             peerServer.goAway();
+            source.leave();
             clients.leave();
             loop.scheduleAtFixedRate(this::checkLeft, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
         });
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -22,6 +22,7 @@
  * @param retryAllowance further repeats in each window, over the whole fleet
  * @param retryWindowMillis length of these windows
  * @param graceMillis time between the request to stop and the forced end
+ * @param changeBoundMillis shortest time in which a change that the source published must be in force on every node
  * @param coldBound what a cold target may get beyond the rate that it bears
  */
 public record RelaySettings(
@@ -42,4 +43,5 @@
         double retryAllowance,
         long retryWindowMillis,
         long graceMillis,
+        long changeBoundMillis,
         ColdBound coldBound) {}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -7,26 +7,25 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Function;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
+import io.jaywick.core.distribution.Upstreams;
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
-import io.jaywick.core.message.UpToDate;
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.Placement;
-import io.jaywick.node.peer.MessageHandlers;
 
 /**
  * Passes on what the source published, between nodes: a node that the source refuses, or cannot reach, asks its peers.
  * Near peers may be refused as well, and know nothing newer; every second question therefore goes elsewhere, in turn to
  * the peer that last knew something newer and to any other. Runs on the event loop of the relay.
  */
-final class SourceExchange implements PeerSource {
+public final class SourceExchange implements PeerSource {
 
     /** Questions of one round: near, informed, near, any. */
     private static final int ROUND = 4;
@@ -37,30 +36,79 @@
     private final int peerPort;
     private final List<String> seedHosts;
     private final Random random;
-    private int questions;
+    private final SourceQuestions questions;
+    private final SourceFollower follower;
+    private int asked;
     private String informedHost;
 
     SourceExchange(
+            RelaySettings settings,
             PeerLink link,
             Supplier<FleetView> view,
             Placement placement,
-            int peerPort,
-            List<String> seedHosts,
-            Random random) {
+            Random random,
+            SourceQuestions questions,
+            SourceFollower follower) {
         this.link = link;
         this.view = view;
         this.placement = placement;
-        this.peerPort = peerPort;
-        this.seedHosts = seedHosts;
+        this.peerPort = peerPort(settings);
+        this.seedHosts = settings.seedHosts();
         this.random = random;
+        this.questions = questions;
+        this.follower = follower;
     }
 
-    /** Answers the questions of peers; the function gives what is newer than a revision, or null. */
-    void answer(MessageHandlers handlers, Function<SourceQuery, SourceState> known) {
-        handlers.register(SourceQuery.class, message -> {
-            SourceState newer = known.apply((SourceQuery) message);
-            return CompletableFuture.completedFuture(newer == null ? new UpToDate(0, "") : newer);
-        });
+    /** The port is the same on every node. */
+    private static int peerPort(RelaySettings settings) {
+        String address = settings.peerAddress();
+        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+    }
+
+    /**
+     * Makes the exchange of one node.
+     *
+     * @param known what the node holds itself
+     */
+    public static SourceExchange of(
+            RelaySettings settings,
+            PeerLink link,
+            Supplier<FleetView> view,
+            Placement placement,
+            NodeRuntime runtime,
+            SourceKnowledge known) {
+        DelayedTasks tasks = (task, millis) -> runtime.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
+        Upstreams upstreams = new Upstreams(
+                settings.host(), settings.dataCentre(), settings.regionByDataCentre(), runtime.nanoTime());
+        SourceFollower follower = new SourceFollower(
+                link, view, upstreams, peerPort(settings), settings.changeBoundMillis(), tasks, runtime.log());
+        return new SourceExchange(
+                settings, link, view, placement, runtime.random(), new SourceQuestions(known, tasks), follower);
+    }
+
+    /** Answers a question of a peer. */
+    public CompletableFuture<Message> answer(SourceQuery query) {
+        return questions.ask(query);
+    }
+
+    /** The node ends soon; those that follow it go elsewhere. */
+    public void leave() {
+        questions.leave();
+    }
+
+    @Override
+    public CompletableFuture<Followed> follow(long revision, boolean whole) {
+        return follower.follow(revision, whole);
+    }
+
+    @Override
+    public void changed() {
+        questions.changed();
+    }
+
+    @Override
+    public void lost() {
+        questions.lost();
     }
 
     @Override
@@ -69,18 +117,19 @@
         if (host == null) {
             return CompletableFuture.completedFuture(null);
         }
-        return link.request(host + ":" + peerPort, new SourceQuery(revision)).thenApply((Message reply) -> {
-            if (reply instanceof SourceState state) {
-                informedHost = host;
-                return state;
-            }
-            return null;
-        });
+        return link.request(host + ":" + peerPort, new SourceQuery(revision, 0, true))
+                .thenApply((Message reply) -> {
+                    if (reply instanceof SourceState state) {
+                        informedHost = host;
+                        return state;
+                    }
+                    return null;
+                });
     }
 
     private String nextHost() {
-        int turn = questions % ROUND;
-        questions++;
+        int turn = asked % ROUND;
+        asked++;
         Set<String> near = new LinkedHashSet<>();
         Set<String> all = new LinkedHashSet<>(seedHosts);
         for (Instance instance : view.get().instances()) {
--- /dev/null
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -0,0 +1,108 @@
+package io.jaywick.node.relay;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.jaywick.core.distribution.Upstreams;
+import io.jaywick.core.fleet.FleetView;
+import io.jaywick.core.message.Message;
+import io.jaywick.core.message.PeerLink;
+import io.jaywick.core.message.SourceQuery;
+import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.UpToDate;
+
+/**
+ * Waits for news at another node. A node that is silent, or not in touch with the source itself, is left out for a time;
+ * when two in a row are, this node follows the source itself for one turn.
+ */
+final class SourceFollower {
+
+    /**
+     * Part of the bound for changes that one question waits. An upstream that went silent costs this and the slack; the
+     * rest of the bound is enough for one more silent node and for the source.
+     */
+    private static final double WAIT_PART = 0.3;
+
+    /** Time for the way of an answer, and for a peer whose processor is busy. */
+    private static final long SLACK_MILLIS = 250;
+
+    /** After a failure the next node is asked for an answer at once, so that a second silent one is noticed sooner. */
+    private static final long PROBE_WAIT_MILLIS = 1;
+
+    private static final int MAX_FAILURES = 2;
+
+    private final PeerLink link;
+    private final Supplier<FleetView> view;
+    private final Upstreams upstreams;
+    private final int peerPort;
+    private final long waitMillis;
+    private final DelayedTasks tasks;
+    private final RelayLog log;
+    private int failures;
+    private String followed;
+
+    SourceFollower(
+            PeerLink link,
+            Supplier<FleetView> view,
+            Upstreams upstreams,
+            int peerPort,
+            long changeBoundMillis,
+            DelayedTasks tasks,
+            RelayLog log) {
+        this.link = link;
+        this.view = view;
+        this.upstreams = upstreams;
+        this.peerPort = peerPort;
+        this.waitMillis = Math.max(1, Math.round(WAIT_PART * changeBoundMillis));
+        this.tasks = tasks;
+        this.log = log;
+    }
+
+    /** Asks the node to follow; the result names no host when this node has to follow the source itself. */
+    CompletableFuture<Followed> follow(long revision, boolean whole) {
+        CompletableFuture<Followed> result = new CompletableFuture<>();
+        follow(revision, whole, result);
+        return result;
+    }
+
+    private void follow(long revision, boolean whole, CompletableFuture<Followed> result) {
+        String host =
+                failures >= MAX_FAILURES ? null : upstreams.choose(view.get().instances());
+        noteFollowed(host);
+        if (host == null) {
+            failures = 0;
+            result.complete(Followed.NONE);
+            return;
+        }
+        long wait = failures == 0 ? waitMillis : PROBE_WAIT_MILLIS;
+        CompletableFuture<Message> reply = link.request(host + ":" + peerPort, new SourceQuery(revision, wait, whole));
+        tasks.runLater(() -> reply.cancel(false), wait + SLACK_MILLIS);
+        reply.whenComplete((message, failure) -> {
+            if (message instanceof SourceState || message instanceof UpToDate) {
+                failures = 0;
+                upstreams.answered(host);
+                result.complete(new Followed(host, message instanceof SourceState state ? state : null));
+            } else {
+                log.debug(
+                        "followed node is out of touch",
+                        "host",
+                        host,
+                        "reason",
+                        String.valueOf(failure),
+                        "answer",
+                        "" + message);
+                failures++;
+                upstreams.failed(host);
+                follow(revision, whole, result);
+            }
+        });
+    }
+
+    private void noteFollowed(String host) {
+        String now = host == null ? "source" : host;
+        if (!now.equals(followed)) {
+            followed = now;
+            log.change("node follows", "host", now);
+        }
+    }
+}
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -73,7 +73,12 @@
     }
 
     private Relay relay(String name, String host, int peerPort, String targetAddress, PrometheusMeterRegistry metrics) {
-        RelaySettings settings = new RelaySettings(
+        return new Relay(settings(name, host, peerPort, targetAddress), NAMES, runtime, metrics);
+    }
+
+    /** Settings of one node; callers and the ready address get free ports. */
+    static RelaySettings settings(String name, String host, int peerPort, String targetAddress) {
+        return new RelaySettings(
                 name,
                 host,
                 "dc",
@@ -91,8 +96,8 @@
                 100,
                 10_000,
                 2_000,
+                2_000,
                 ColdBound.NONE);
-        return new Relay(settings, NAMES, runtime, metrics);
     }
 
     /** Lets the nodes believe that one target serves two routes, one of them idempotent, with the given timeout. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
@@ -31,6 +31,8 @@
     /** At 150 ms a question, four leave most of a bound of two seconds to the peer itself. */
     private static final int MAX_QUESTIONS = 4;
 
+    private static final RelaySettings SETTINGS = RelayFixture.settings("n", host(0), 7_000, host(0) + ":80");
+
     private static String host(int place) {
         return "10.0.0." + (place + 1);
     }
@@ -60,7 +62,7 @@
             long[] published = {1};
             PeerLink link = (address, message) -> CompletableFuture.completedFuture(answer(
                     address.substring(0, address.indexOf(':')), ((SourceQuery) message).revision(), published[0]));
-            SourceExchange exchange = new SourceExchange(link, () -> view, placement, 7000, List.of(), random);
+            SourceExchange exchange = new SourceExchange(SETTINGS, link, () -> view, placement, random, null, null);
             long known = 0;
             while (known < 1) {
                 known = ask(exchange, known);
@@ -86,6 +88,8 @@
     private static Message answer(String host, long asked, long published) {
         int place = Integer.parseInt(host.substring(host.lastIndexOf('.') + 1)) - 1;
         boolean refused = place < HOSTS_EACH || place % 3 == 0;
-        return refused || asked >= published ? new UpToDate(0, "") : new SourceState(published, List.of(), List.of());
+        return refused || asked >= published
+                ? new UpToDate(0, "")
+                : new SourceState(published, List.of(), List.of(), 0);
     }
 }
