Report the wait for a target apart from its work; keep full regions by route

Change: answers and refusals carry the wait before the target beside the time until an average answer. Whether an instance is asked follows from the wait; which of several is asked first, from the whole time. FullRegions is kept by route. Retry-After follows the least wait.

--- a/jaywick-core/src/main/java/io/jaywick/core/placement/CallPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/CallPlan.java
@@ -26,8 +26,8 @@
     private final Placement placement;
     private final Supplier<FleetView> fleet;
     private final String service;
+    private final String route;
     private final Set<String> homeRegions;
-    private final int priority;
     private final Set<String> refusedBy = new HashSet<>();
     private final Set<String> lastResorts = new HashSet<>();
     private final Set<String> excluded = new HashSet<>();
@@ -35,7 +35,7 @@
     private int trials;
     private int hedges;
     private boolean exhausted;
-    private long leastExpectedMillis = -1;
+    private long leastWaitMillis = -1;
 
     /** An instance that is asked next. */
     public record Choice(Instance instance, Purpose purpose) {}
@@ -44,15 +44,14 @@
      * Makes the plan of a call that nobody was asked to take.
      *
      * @param homeRegions regions in which the call may be processed; empty means any
-     * @param priority 0 is the highest
      */
     public CallPlan(
-            Placement placement, Supplier<FleetView> fleet, String service, Set<String> homeRegions, int priority) {
+            Placement placement, Supplier<FleetView> fleet, String service, String route, Set<String> homeRegions) {
         this.placement = placement;
         this.fleet = fleet;
         this.service = service;
+        this.route = route;
         this.homeRegions = homeRegions;
-        this.priority = priority;
     }
 
     /**
@@ -66,7 +65,7 @@
         exhausted = order.isEmpty();
         if (trials < MAX_TRIALS) {
             for (Instance instance : order) {
-                if (!refusedBy.contains(instance.id()) && placement.mayMeet(instance, priority, objectiveMillis)) {
+                if (!refusedBy.contains(instance.id()) && placement.mayMeet(instance, route, objectiveMillis)) {
                     trials++;
                     return ask(instance, Purpose.TRIAL);
                 }
@@ -84,17 +83,17 @@
     }
 
     private boolean isTooLate(Instance instance, long remainingMillis) {
-        double millis = placement.expectedMillis(instance);
+        double millis = placement.waitMillis(instance);
         if (millis <= remainingMillis) {
             return false;
         }
-        leastExpectedMillis = leastExpectedMillis < 0 ? (long) millis : Math.min(leastExpectedMillis, (long) millis);
+        leastWaitMillis = leastWaitMillis < 0 ? (long) millis : Math.min(leastWaitMillis, (long) millis);
         return true;
     }
 
-    /** Least time that an instance needs which was left out because it would answer too late; -1 when there was none. */
-    public long leastExpectedMillis() {
-        return leastExpectedMillis;
+    /** Least wait at an instance that was left out because it is longer than the time left; -1 when there was none. */
+    public long leastWaitMillis() {
+        return leastWaitMillis;
     }
 
     /**
@@ -109,7 +108,7 @@
         for (Instance instance : candidates()) {
             if (!refusedBy.contains(instance.id())
                     && !asked.contains(instance.id())
-                    && placement.mayMeet(instance, priority, remainingMillis)) {
+                    && placement.mayMeet(instance, route, remainingMillis)) {
                 hedges++;
                 return ask(instance, Purpose.HEDGE);
             }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/FullRegions.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/FullRegions.java
@@ -5,7 +5,7 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Other regions that lately had no room for calls of one service and priority. Each offer to one costs bytes between
+ * Other regions that lately had no room for calls of one route to a service. Each offer to one costs bytes between
  * regions, so a region that refused is left out for a time, which doubles while it goes on refusing. Not thread-safe.
  */
 final class FullRegions {
@@ -24,7 +24,7 @@
     private final RandomGenerator random;
     private final Map<Key, Refusals> refusals = new HashMap<>();
 
-    private record Key(String region, String service, int priority) {}
+    private record Key(String region, String service, String route) {}
 
     private static final class Refusals {
         private int count;
@@ -35,8 +35,8 @@
         this.random = random;
     }
 
-    void refused(String region, String service, int priority, long nowNanos) {
-        Refusals known = refusals.computeIfAbsent(new Key(region, service, priority), key -> new Refusals());
+    void refused(String region, String service, String route, long nowNanos) {
+        Refusals known = refusals.computeIfAbsent(new Key(region, service, route), key -> new Refusals());
         if (known.count > 0 && nowNanos - known.untilNanos < 0) {
             // Answers to offers that were made together count once.
             return;
@@ -46,12 +46,12 @@
         known.untilNanos = nowNanos + (long) (millis * (1 - JITTER * random.nextDouble()) * NANOS_PER_MILLI);
     }
 
-    void tookCall(String region, String service, int priority) {
-        refusals.remove(new Key(region, service, priority));
+    void tookCall(String region, String service, String route) {
+        refusals.remove(new Key(region, service, route));
     }
 
-    boolean isFull(String region, String service, int priority, long nowNanos) {
-        Refusals known = refusals.get(new Key(region, service, priority));
+    boolean isFull(String region, String service, String route, long nowNanos) {
+        Refusals known = refusals.get(new Key(region, service, route));
         return known != null && nowNanos - known.untilNanos < 0;
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -16,6 +16,7 @@
 
     private int inFlight;
     private double reportedMillis;
+    private double reportedWaitMillis;
     private long reportedNanos;
     private long avoidUntilNanos;
     private int failuresInRow;
@@ -29,8 +30,9 @@
         inFlight--;
     }
 
-    void reported(long expectedMillis, long nowNanos) {
+    void reported(long expectedMillis, long waitMillis, long nowNanos) {
         reportedMillis = expectedMillis;
+        reportedWaitMillis = waitMillis;
         reportedNanos = nowNanos;
     }
 
@@ -54,14 +56,18 @@
         return avoided && nowNanos - avoidUntilNanos < 0;
     }
 
-    /** Milliseconds until an answer that the instance reported last, less for an older report. */
-    double reportedMillis(long nowNanos) {
+    /** Milliseconds until a call gets to the target, as reported last, less for an older report. */
+    double waitMillis(long nowNanos) {
+        return reportedWaitMillis * weight(nowNanos);
+    }
+
+    private double weight(long nowNanos) {
         double ageMillis = (nowNanos - reportedNanos) / NANOS_PER_MILLI;
-        return reportedMillis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
+        return Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
     }
 
     /** Expected milliseconds until the answer of a call that is sent now; calls of this node count a little each. */
     double score(long nowNanos) {
-        return reportedMillis(nowNanos) + inFlight;
+        return reportedMillis * weight(nowNanos) + inFlight;
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
@@ -27,9 +27,6 @@
 
     private static final double OTHER_REGION_MILLIS = 200;
 
-    /** Reports are rough and the target itself takes a call into a free slot that would need twice its objective. */
-    private static final double REPORT_TOLERANCE = 2;
-
     private final String host;
     private final String dataCentre;
     private final String region;
@@ -56,28 +53,28 @@
     }
 
     /**
-     * Whether it makes sense to ask an instance if it can meet the objective of a call: it has not reported lately that it
-     * would take twice as long, and its region had room.
+     * Whether it makes sense to ask an instance if it can meet the objective of a call: it has not reported lately that
+     * the call would wait longer, and its region had room for the route.
      */
-    public boolean mayMeet(Instance instance, int priority, long objectiveMillis) {
+    public boolean mayMeet(Instance instance, String route, long objectiveMillis) {
         long now = nanoTime.getAsLong();
         return objectiveMillis > 0
-                && load(instance.id()).reportedMillis(now) <= REPORT_TOLERANCE * objectiveMillis
+                && load(instance.id()).waitMillis(now) <= objectiveMillis
                 && (distance(instance) != Distance.OTHER_REGION
-                        || !fullRegions.isFull(region(instance), instance.service(), priority, now));
+                        || !fullRegions.isFull(region(instance), instance.service(), route, now));
     }
 
     /** Notes that an instance had no room for a call that it was asked to take. */
-    public void hadNoRoom(Instance instance, int priority) {
+    public void hadNoRoom(Instance instance, String route) {
         if (distance(instance) == Distance.OTHER_REGION) {
-            fullRegions.refused(region(instance), instance.service(), priority, nanoTime.getAsLong());
+            fullRegions.refused(region(instance), instance.service(), route, nanoTime.getAsLong());
         }
     }
 
     /** Notes that an instance took a call. */
-    public void tookCall(Instance instance, int priority) {
+    public void tookCall(Instance instance, String route) {
         if (distance(instance) == Distance.OTHER_REGION) {
-            fullRegions.tookCall(region(instance), instance.service(), priority);
+            fullRegions.tookCall(region(instance), instance.service(), route);
         }
     }
 
@@ -85,9 +82,9 @@
         return regionByDataCentre.getOrDefault(instance.dataCentre(), "");
     }
 
-    /** Expected milliseconds until an instance answers a call that is sent to it as a last resort. */
-    double expectedMillis(Instance instance) {
-        return load(instance.id()).reportedMillis(nanoTime.getAsLong()) + distanceMillis(instance);
+    /** Milliseconds until a call that is sent now gets to the target of an instance, as far as reports tell. */
+    double waitMillis(Instance instance) {
+        return load(instance.id()).waitMillis(nanoTime.getAsLong());
     }
 
     private record Scored(Instance instance, Distance distance, boolean avoided, double score) {}
@@ -182,9 +179,14 @@
         load(instanceId).ended();
     }
 
-    /** Notes the time until an answer that the node beside an instance reported with an answer or a refusal. */
-    public void reported(String instanceId, long expectedMillis) {
-        load(instanceId).reported(expectedMillis, nanoTime.getAsLong());
+    /**
+     * Notes what the node beside an instance reported with an answer or a refusal.
+     *
+     * @param expectedMillis time until the answer of an average call
+     * @param waitMillis part of it before the target gets the call
+     */
+    public void reported(String instanceId, long expectedMillis, long waitMillis) {
+        load(instanceId).reported(expectedMillis, waitMillis, nanoTime.getAsLong());
     }
 
     public void succeeded(String instanceId) {
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/CallPlanTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/CallPlanTestCase.java
@@ -22,6 +22,7 @@
 
 class CallPlanTestCase {
 
+    private static final String ROUTE = "route";
     private static final long OBJECTIVE_MILLIS = 300;
     private static final long REMAINING_MILLIS = 1_000;
 
@@ -35,7 +36,7 @@
             listed.add(new Instance("i-" + i, "s", "10.0.0." + i + ":80", "a", "v1", 4, false, 0, 1, 0, 0));
         }
         FleetView view = new FleetView(RuleSet.EMPTY, listed, Set.of());
-        return new CallPlan(placement, () -> view, "s", Set.of(), 1);
+        return new CallPlan(placement, () -> view, "s", ROUTE, Set.of());
     }
 
     /** Pattern burst: instances that all refuse cost a bounded number of round trips, and none is asked twice in vain. */
@@ -108,12 +109,12 @@
         FleetView view = new FleetView(RuleSet.EMPTY, listed, Set.of());
         int offers = 0;
         for (int millis = 0; millis < 10_000; millis += 10) {
-            CallPlan plan = new CallPlan(placement, () -> view, "s", Set.of(), 1);
+            CallPlan plan = new CallPlan(placement, () -> view, "s", ROUTE, Set.of());
             CallPlan.Choice choice = plan.next(OBJECTIVE_MILLIS, REMAINING_MILLIS);
             while (choice != null && choice.purpose() == Purpose.TRIAL) {
                 offers++;
                 plan.refused(choice.instance().id());
-                placement.hadNoRoom(choice.instance(), 1);
+                placement.hadNoRoom(choice.instance(), ROUTE);
                 choice = plan.next(OBJECTIVE_MILLIS, REMAINING_MILLIS);
             }
             nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(10));
@@ -121,26 +122,26 @@
         assertThat(offers, lessThan(30));
         // One that takes a call again is asked as before.
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(2));
-        placement.tookCall(listed.get(0), 1);
-        CallPlan plan = new CallPlan(placement, () -> view, "s", Set.of(), 1);
+        placement.tookCall(listed.get(0), ROUTE);
+        CallPlan plan = new CallPlan(placement, () -> view, "s", ROUTE, Set.of());
         assertThat(plan.next(OBJECTIVE_MILLIS, REMAINING_MILLIS).purpose(), is(Purpose.TRIAL));
     }
 
-    /** Guards against less urgent calls that close a region for more urgent ones. */
+    /** Guards against long calls that close a region for short ones, which the calls of running requests are. */
     @Test
-    void fullRegionIsFullForOnePriority() {
+    void fullRegionIsFullForOneRoute() {
         Instance far = instance("far", "10.0.1.1", "b");
-        placement.hadNoRoom(far, 2);
-        assertThat(placement.mayMeet(far, 2, OBJECTIVE_MILLIS), is(false));
-        assertThat(placement.mayMeet(far, 1, OBJECTIVE_MILLIS), is(true));
+        placement.hadNoRoom(far, ROUTE);
+        assertThat(placement.mayMeet(far, ROUTE, OBJECTIVE_MILLIS), is(false));
+        assertThat(placement.mayMeet(far, "other", OBJECTIVE_MILLIS), is(true));
     }
 
     /** Guards against round trips to instances that have just said how long they would need. */
     @Test
     void instanceThatReportedALongWaitIsNotTried() {
         CallPlan plan = plan(2);
-        placement.reported("i-1", 5 * OBJECTIVE_MILLIS);
-        placement.reported("i-2", 5 * OBJECTIVE_MILLIS);
+        placement.reported("i-1", 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
+        placement.reported("i-2", 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
         CallPlan.Choice choice = plan.next(OBJECTIVE_MILLIS, 10 * REMAINING_MILLIS);
         assertThat(choice.purpose(), is(Purpose.LAST_RESORT));
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
@@ -151,10 +152,10 @@
     @Test
     void hopelessCallIsRefusedAtOnce() {
         CallPlan plan = plan(2);
-        placement.reported("i-1", 5 * REMAINING_MILLIS);
-        placement.reported("i-2", 3 * REMAINING_MILLIS);
+        placement.reported("i-1", 5 * REMAINING_MILLIS, 5 * REMAINING_MILLIS);
+        placement.reported("i-2", 3 * REMAINING_MILLIS, 3 * REMAINING_MILLIS);
         assertThat(plan.next(OBJECTIVE_MILLIS, REMAINING_MILLIS), nullValue());
         assertThat(plan.isExhausted(), is(false));
-        assertThat(plan.leastExpectedMillis(), is(3 * REMAINING_MILLIS));
+        assertThat(plan.leastWaitMillis(), is(3 * REMAINING_MILLIS));
     }
 }
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/PlacementTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/PlacementTestCase.java
@@ -87,9 +87,9 @@
     @Test
     void equallyNearOnesAreOrderedByReportedWait() {
         FleetView view = view(Set.of(), instance("x", "10.0.0.2", "a1", false), instance("y", "10.0.0.3", "a1", false));
-        placement.reported("x", 100);
+        placement.reported("x", 100, 0);
         assertThat(order(view, Set.of()), contains("y", "x"));
-        placement.reported("y", 300);
+        placement.reported("y", 300, 0);
         assertThat(order(view, Set.of()), contains("x", "y"));
     }
 
@@ -114,15 +114,15 @@
     @Test
     void lastResortIsTheSoonestThatDidNotFail() {
         placement.failed("own");
-        placement.reported("centre", 300);
-        placement.reported("region", 40);
-        placement.reported("far", 10);
+        placement.reported("centre", 300, 0);
+        placement.reported("region", 40, 0);
+        placement.reported("far", 10, 0);
         assertThat(
                 placement
                         .lastResort(whole, placement.order(whole, "s", Set.of()))
                         .id(),
                 is("region"));
-        placement.reported("region", 900);
+        placement.reported("region", 900, 0);
         assertThat(
                 placement
                         .lastResort(whole, placement.order(whole, "s", Set.of()))
@@ -133,10 +133,10 @@
     /** Guards against bytes between regions for a call that would be answered about as soon in its own. */
     @Test
     void lastResortStaysNearWhenFarIsNotMuchSooner() {
-        placement.reported("own", 180);
-        placement.reported("centre", 180);
-        placement.reported("region", 180);
-        placement.reported("far", 10);
+        placement.reported("own", 180, 0);
+        placement.reported("centre", 180, 0);
+        placement.reported("region", 180, 0);
+        placement.reported("far", 10, 0);
         Instance last = placement.lastResort(whole, placement.order(whole, "s", Set.of()));
         assertThat(placement.distance(last), lessThan(Distance.OTHER_REGION));
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -10,10 +10,17 @@
  * @param reason short fixed text for logs and metrics; that of an answer is its status
  * @param status HTTP status of an answer, else 0
  * @param headers names and values in turn, of an answer only
- * @param expectedMillis time until the answer of a call that comes to the instance now; -1 when unknown
+ * @param expectedMillis time until the answer of an average call that comes to the instance now; -1 when unknown
+ * @param waitMillis part of it before the target gets the call; -1 when unknown
  */
 public record CallResult(
-        Outcome outcome, String reason, int status, List<String> headers, byte[] body, long expectedMillis) {
+        Outcome outcome,
+        String reason,
+        int status,
+        List<String> headers,
+        byte[] body,
+        long expectedMillis,
+        long waitMillis) {
 
     /** Reason of a call that reached another instance than the one chosen, which did not run it. */
     static final String ANOTHER_INSTANCE = "another-instance";
@@ -35,11 +42,11 @@
     }
 
     static CallResult answered(int status, List<String> headers, byte[] body) {
-        return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1);
+        return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1, -1);
     }
 
     static CallResult shed(String reason) {
-        return new CallResult(Outcome.SHED, reason, 0, List.of(), EMPTY, -1);
+        return new CallResult(Outcome.SHED, reason, 0, List.of(), EMPTY, -1, -1);
     }
 
     static CallResult refused(GateRefusal reason) {
@@ -47,19 +54,19 @@
     }
 
     static CallResult refused(String reason) {
-        return new CallResult(Outcome.REFUSED, reason, 0, List.of(), EMPTY, -1);
+        return new CallResult(Outcome.REFUSED, reason, 0, List.of(), EMPTY, -1, -1);
     }
 
     static CallResult lost(String reason) {
-        return new CallResult(Outcome.LOST, reason, 0, List.of(), EMPTY, -1);
+        return new CallResult(Outcome.LOST, reason, 0, List.of(), EMPTY, -1, -1);
     }
 
     static CallResult timedOut() {
-        return new CallResult(Outcome.TIMED_OUT, "deadline", 0, List.of(), EMPTY, -1);
+        return new CallResult(Outcome.TIMED_OUT, "deadline", 0, List.of(), EMPTY, -1, -1);
     }
 
-    CallResult withExpected(long millis) {
-        return new CallResult(outcome, reason, status, headers, body, millis);
+    CallResult withExpected(long millis, long millisBefore) {
+        return new CallResult(outcome, reason, status, headers, body, millis, millisBefore);
     }
 
     /** Whether the call certainly has not run and will not run. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -192,7 +192,7 @@
         }
         if (refusal != null) {
             logRefusal(call, refusal);
-            done.accept(CallResult.refused(refusal).withExpected(expectedMillis(call, refusal)));
+            done.accept(isGone(refusal) ? CallResult.refused(refusal) : withLoad(CallResult.refused(refusal), call));
         }
         return running::cancel;
     }
@@ -245,10 +245,13 @@
         return null;
     }
 
-    private long expectedMillis(ForwardCall call, GateRefusal refusal) {
-        return refusal == GateRefusal.LEAVING || refusal == GateRefusal.UNKNOWN_INSTANCE
-                ? -1
-                : gate.expectedMillis(call.priority());
+    private static boolean isGone(GateRefusal refusal) {
+        return refusal == GateRefusal.LEAVING || refusal == GateRefusal.UNKNOWN_INSTANCE;
+    }
+
+    /** Adds what a call of this priority that comes now has to expect. */
+    private CallResult withLoad(CallResult result, ForwardCall call) {
+        return result.withExpected(gate.expectedMillis(call.priority()), gate.waitMillis(call.priority()));
     }
 
     /** A call from its offer to its result. */
@@ -286,7 +289,7 @@
         @Override
         protected void refused(GateRefusal reason) {
             logRefusal(call, reason);
-            end(CallResult.refused(reason).withExpected(gate.expectedMillis(call.priority())));
+            end(withLoad(CallResult.refused(reason), call));
         }
 
         private void answered(CallResult result) {
@@ -296,7 +299,7 @@
                 viewChanged();
             }
             gate.ended(this, result.outcome() == CallResult.Outcome.ANSWERED);
-            end(result.withExpected(gate.expectedMillis(call.priority())));
+            end(withLoad(result, call));
         }
 
         private void end(CallResult result) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -75,7 +75,7 @@
             return;
         }
         routed = RoutedCall.of(calls, request, requestId, route);
-        plan = new CallPlan(calls.placement(), calls::fleet, routed.service(), route.homeRegions(), routed.priority());
+        plan = new CallPlan(calls.placement(), calls::fleet, routed.service(), route.name(), route.homeRegions());
         calls.retries().countFirst(routed.service());
         timeout = calls.context()
                 .runtime()
@@ -100,7 +100,7 @@
         }
         CallPlan.Choice choice = plan.next(routed.route().objectiveMillis() - elapsedMillis(), remainingMillis());
         if (choice == null) {
-            answers.expects(plan.leastExpectedMillis());
+            answers.expects(plan.leastWaitMillis());
             end(answers.failure(plan.isExhausted() ? "no-instance" : "overloaded"));
         } else {
             offer(choice);
@@ -197,7 +197,7 @@
     private void received(Offer offer, CallResult result) {
         Instance instance = offer.instance();
         if (result.expectedMillis() >= 0) {
-            calls.placement().reported(instance.id(), result.expectedMillis());
+            calls.placement().reported(instance.id(), result.expectedMillis(), result.waitMillis());
         }
         if (ended) {
             return;
@@ -228,7 +228,7 @@
 
     private void arrived(Instance instance) {
         arrivals++;
-        calls.placement().tookCall(instance, routed.priority());
+        calls.placement().tookCall(instance, routed.route().name());
         plan.exclude(instance.id());
     }
 
@@ -252,7 +252,7 @@
     private void refused(Offer offer, CallResult result) {
         Instance instance = offer.instance();
         plan.refused(instance.id());
-        answers.expects(result.expectedMillis());
+        answers.expects(result.waitMillis());
         switch (result.reason()) {
             case "leaving", "unknown-instance" -> {
                 plan.exclude(instance.id());
@@ -262,7 +262,7 @@
                 plan.exclude(instance.id());
                 calls.placement().failed(instance.id());
             }
-            default -> calls.placement().hadNoRoom(instance, routed.priority());
+            default -> calls.placement().hadNoRoom(instance, routed.route().name());
         }
         if (open.isEmpty()) {
             next();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -86,7 +86,8 @@
                         answer.status(),
                         answer.headers(),
                         answer.body(),
-                        answer.expectedMillis());
+                        answer.expectedMillis(),
+                        answer.waitMillis());
             } catch (IllegalArgumentException e) {
                 log.warning("unknown outcome from a peer", "outcome", answer.outcome());
                 return CallResult.lost("peer-answer");
@@ -131,7 +132,8 @@
                 result.status(),
                 result.headers(),
                 result.body(),
-                result.expectedMillis());
+                result.expectedMillis(),
+                result.waitMillis());
     }
 
     private CompletableFuture<Message> cancel(ForwardCancel cancel) {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/CallHistoryTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/CallHistoryTestCase.java
@@ -14,7 +14,7 @@
     @Test
     void tellsWhatEachInstanceSaid() {
         CallHistory history = new CallHistory();
-        history.add("i-1", CallResult.refused(GateRefusal.BUSY).withExpected(120));
+        history.add("i-1", CallResult.refused(GateRefusal.BUSY).withExpected(120, 70));
         history.add("i-2", CallResult.lost("connection-reset"));
         history.add("i-3", CallResult.answered(500, List.of(), new byte[0]));
         assertThat(history.toString(), is("i-1=refused:busy:expects120 i-2=lost:connection-reset i-3=500"));
