Order the instances of a call once while its offers follow each other

Change: the order is kept for 100 ms while the view is the same, and a report older than ten half-lives weighs nothing without being computed.

Measured: CallPlanTestCase and PlacementTestCase hold; processor time was not measured for this change alone.

--- a/jaywick-core/src/main/java/io/jaywick/core/placement/CallPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/CallPlan.java
@@ -1,5 +1,6 @@
 package io.jaywick.core.placement;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -23,6 +24,9 @@
     /** Instances that are asked to take a hedge; each of them may refuse it. */
     private static final int MAX_HEDGES = 2;
 
+    /** Half of the time within which a report of load loses half of its weight. */
+    private static final long ORDER_NANOS = 100_000_000;
+
     private final Placement placement;
     private final Supplier<FleetView> fleet;
     private final String service;
@@ -34,6 +38,9 @@
     private final Set<String> asked = new HashSet<>();
     private int trials;
     private int hedges;
+    private List<Instance> ordered = List.of();
+    private FleetView orderedView;
+    private long orderedNanos;
     private boolean exhausted;
     private long leastWaitMillis = -1;
 
@@ -116,8 +123,16 @@
         return null;
     }
 
+    /** Refusals follow each other within milliseconds; in that time the order of the instances hardly changes. */
     private List<Instance> candidates() {
-        List<Instance> order = placement.order(fleet.get(), service, homeRegions);
+        FleetView view = fleet.get();
+        long now = placement.nowNanos();
+        if (view != orderedView || now - orderedNanos > ORDER_NANOS) {
+            ordered = placement.order(view, service, homeRegions);
+            orderedView = view;
+            orderedNanos = now;
+        }
+        List<Instance> order = new ArrayList<>(ordered);
         order.removeIf(instance -> excluded.contains(instance.id()));
         return order;
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -6,6 +6,9 @@
     /** A report of expected time loses half of its weight in this time, about one service time of a short call. */
     private static final double REPORT_HALF_LIFE_MILLIS = 200;
 
+    /** A report has a thousandth of its weight after ten half-lives. */
+    private static final double FORGOTTEN_MILLIS = 10 * REPORT_HALF_LIFE_MILLIS;
+
     /** First time that an unreachable instance is left out; it doubles with each further failure. */
     private static final long FIRST_AVOID_MILLIS = 100;
 
@@ -63,6 +66,9 @@
 
     private double weight(long nowNanos) {
         double ageMillis = (nowNanos - reportedNanos) / NANOS_PER_MILLI;
+        if (ageMillis > FORGOTTEN_MILLIS) {
+            return 0;
+        }
         return Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/Placement.java
@@ -120,6 +120,10 @@
         return order;
     }
 
+    long nowNanos() {
+        return nanoTime.getAsLong();
+    }
+
     /** Whether an instance may take new calls. */
     public boolean isUsable(FleetView view, Instance instance, Set<String> homeRegions) {
         return !instance.draining()
