Bound the memory that answers without end can take

A connection on which an answer of another request had come with a length stayed in use, so that a further surplus answer could have met the next call.

A connection that showed an answer of another request is not used again.

Endless heads were bounded before, by the decoder.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -30,13 +30,14 @@
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** Longer answers are not held in memory; the call counts as lost. */
-    private static final int MAX_ANSWER_BYTES = 64 << 20;
+    /** Longer answers are not held in memory, of which a node has about 100 MB; the call counts as lost. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
 
     private static final int STATUS_MISDIRECTED = 421;
     private static final int STATUS_CONTINUE = 100;
     private static final int STATUS_SUCCESS = 2;
     private static final int STATUS_CLASS = 100;
+    private static final int STATUS_INFORMATIONAL = 1;
 
     /** Connections are closed this long before the target would, so that no call crosses its close. */
     private static final long IDLE_MARGIN_MILLIS = 1_500;
@@ -128,13 +129,17 @@
     /** Gives the call up; the target drops it when its connection closes. */
     void cancel(ForwardCall call) {
         if (exchange != null && exchange.call == call) {
-            Exchange own = exchange;
-            own.timeout.cancel(false);
-            exchange = null;
+            endExchange();
             channel.close();
         }
     }
 
+    private void endExchange() {
+        exchange.timeout.cancel(false);
+        pool.letGo(exchange.body.size());
+        exchange = null;
+    }
+
     /** A health check carries no request id, and neither does its answer. */
     private static boolean isProbe(ForwardCall call) {
         return call.requestId().isEmpty();
@@ -188,13 +193,14 @@
         belongs = matches && head.status().code() != STATUS_CONTINUE;
         if (belongs) {
             exchange.head = head;
-        } else if (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head)) {
+        } else if (head.status().code() / STATUS_CLASS != STATUS_INFORMATIONAL) {
+            // An answer to another request: more of it, or a further one, could be taken for the next call's.
             reusable = false;
         }
     }
 
     private void add(ByteBuf content) {
-        if (exchange.body.size() + content.readableBytes() > MAX_ANSWER_BYTES) {
+        if (exchange.body.size() + content.readableBytes() > MAX_ANSWER_BYTES || !pool.hold(content.readableBytes())) {
             lose("answer-too-long");
             channel.close();
             return;
@@ -270,8 +276,7 @@
             return;
         }
         Exchange own = exchange;
-        exchange = null;
-        own.timeout.cancel(false);
+        endExchange();
         idleSinceNanos = pool.nanoTime();
         if (reusable) {
             pool.release(this);
@@ -295,8 +300,7 @@
         if (exchange != failed || failed.result != null) {
             return;
         }
-        exchange = null;
-        failed.timeout.cancel(false);
+        endExchange();
         channel.close();
         failed.listener.ended(result);
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -32,12 +32,16 @@
 
     private static final int KEEPALIVE_PROBES = 2;
 
+    /** Answers that are being read hold no more than this together; a copy of each is made when it is passed on. */
+    private static final int MAX_HELD_BYTES = 24 << 20;
+
     private final Bootstrap bootstrap;
     private final RelayContext context;
     private final ArrayDeque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> open = new HashSet<>();
     private final IdleLimit idleLimit = new IdleLimit();
     private String observedInstance;
+    private int heldBytes;
 
     TargetPool(RelayContext context) {
         this.context = context;
@@ -134,6 +138,20 @@
         }
     }
 
+    /** Takes memory for bytes of an answer; returns false when there is too little. */
+    boolean hold(int bytes) {
+        if (heldBytes + bytes > MAX_HELD_BYTES) {
+            return false;
+        }
+        heldBytes += bytes;
+        return true;
+    }
+
+    /** Gives back what an answer held. */
+    void letGo(int bytes) {
+        heldBytes -= bytes;
+    }
+
     void release(TargetConnection connection) {
         idle.addFirst(connection);
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,6 +18,7 @@
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -26,6 +28,11 @@
 
     private static final long SHORT_TIMEOUT_MILLIS = 400;
 
+    private static final int ENDLESS_CHUNK_BYTES = 64 << 10;
+
+    /** More than a node reads of any answer and the buffers of a connection hold. */
+    private static final long ENDLESS_BYTES = 32L << 20;
+
     /** Half of the grace time of the fixture's nodes, so that nearly all answers are expected within all of it. */
     private static final long SLOW_ANSWER_MILLIS = 1_000;
 
@@ -286,6 +293,49 @@
         assertThat(answer, containsString("node-leaves"));
     }
 
+    /** Guards against a target whose answer never ends and takes the memory and the time of the node. */
+    @Test
+    void answerWithoutEndIsGivenUp() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        for (String start : new String[] {
+            "HTTP/1.1 2",
+            "HTTP/1.1 200 OK\r\nX: ",
+            "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+            "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+            "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: "
+        }) {
+            AtomicLong sent = new AtomicLong();
+            byte[] more = "x".repeat(ENDLESS_CHUNK_BYTES).getBytes(StandardCharsets.ISO_8859_1);
+            fixture.target.script((request, out) -> {
+                FakeTarget.write(out, start);
+                while (sent.addAndGet(more.length) < ENDLESS_BYTES) {
+                    out.write(more);
+                }
+                return false;
+            });
+            assertThat(start, call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 502 "));
+            assertThat(start, sent.get(), lessThan(ENDLESS_BYTES));
+            fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.answer(request, 200, "ok")));
+            assertThat(start, call("GET", "/safe/1", "b", ""), endsWith("ok"));
+        }
+    }
+
+    /** Guards against a connection on which a second copy of an answer may still come. */
+    @Test
+    void connectionWithAnAnswerOfAnotherRequestIsNotUsedAgain() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, FakeTarget.answer(request, 200, "old").replace("Id: a", "Id: z"));
+            return FakeTarget.write(out, FakeTarget.answer(request, 200, "own"));
+        });
+        assertThat(call("GET", "/safe/1", "a", ""), endsWith("own"));
+        fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.answer(request, 200, "ok")));
+        int before = fixture.target.connections();
+        assertThat(call("GET", "/safe/2", "b", ""), endsWith("ok"));
+        assertThat(fixture.target.connections(), is(before + 1));
+    }
+
     /** Guards against a caller whose connection closes without a word when the grace time of its node is over. */
     @Test
     void endOfItsNodeIsToldToTheCaller() throws Exception {
