--- a/jaywick-node/src/main/java/io/jaywick/node/relay/DelayedTasks.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/DelayedTasks.java
@@ -4,5 +4,6 @@
 @FunctionalInterface
 interface DelayedTasks {
 
-    void runLater(Runnable task, long millis);
+    /** Runs a task later, unless the returned action is run before; an unneeded timer would wake the thread. */
+    Runnable runLater(Runnable task, long millis);
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -19,6 +19,7 @@
 import io.jaywick.core.message.SourceState;
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.Placement;
+import io.netty.util.concurrent.ScheduledFuture;
 
 /**
  * Passes on what the source published, between nodes: a node that the source refuses, or cannot reach, asks its peers.
@@ -77,7 +78,10 @@
             Placement placement,
             NodeRuntime runtime,
             SourceKnowledge known) {
-        DelayedTasks tasks = (task, millis) -> runtime.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
+        DelayedTasks tasks = (task, millis) -> {
+            ScheduledFuture<?> timer = runtime.loop().schedule(task, millis, TimeUnit.MILLISECONDS);
+            return () -> timer.cancel(false);
+        };
         Upstreams upstreams = new Upstreams(
                 settings.host(), settings.dataCentre(), settings.regionByDataCentre(), runtime.nanoTime());
         SourceFollower follower = new SourceFollower(
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -76,8 +76,9 @@
         }
         long wait = failures == 0 ? waitMillis : PROBE_WAIT_MILLIS;
         CompletableFuture<Message> reply = link.request(host + ":" + peerPort, new SourceQuery(revision, wait, whole));
-        tasks.runLater(() -> reply.cancel(false), wait + SLACK_MILLIS);
+        Runnable cancelTimer = tasks.runLater(() -> reply.cancel(false), wait + SLACK_MILLIS);
         reply.whenComplete((message, failure) -> {
+            cancelTimer.run();
             if (message instanceof SourceState || message instanceof UpToDate) {
                 failures = 0;
                 upstreams.answered(host);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQuestions.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQuestions.java
@@ -32,7 +32,15 @@
     private final List<Question> waiting = new ArrayList<>();
     private boolean leaving;
 
-    private record Question(SourceQuery query, CompletableFuture<Message> reply) {}
+    private static final class Question {
+        private final SourceQuery query;
+        private final CompletableFuture<Message> reply = new CompletableFuture<>();
+        private Runnable cancelTimer;
+
+        Question(SourceQuery query) {
+            this.query = query;
+        }
+    }
 
     SourceQuestions(SourceKnowledge known, DelayedTasks tasks) {
         this.known = known;
@@ -50,14 +58,16 @@
         if (leaving || !known.isInTouch() || waiting.size() >= MAX_WAITING) {
             return CompletableFuture.completedFuture(new Busy(ASK_AGAIN_MILLIS));
         }
-        Question question = new Question(query, new CompletableFuture<>());
+        Question question = new Question(query);
         waiting.add(question);
-        tasks.runLater(() -> end(question, NOTHING), Math.min(query.waitMillis(), MAX_WAIT_MILLIS));
+        question.cancelTimer =
+                tasks.runLater(() -> end(question, NOTHING), Math.min(query.waitMillis(), MAX_WAIT_MILLIS));
         return question.reply;
     }
 
     private void end(Question question, Message answer) {
         if (waiting.remove(question)) {
+            question.cancelTimer.run();
             question.reply.complete(answer);
         }
     }
