--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
@@ -33,12 +33,15 @@
     private final Map<String, SourceEntry> entries = new HashMap<>();
     private final Map<String, ArrayDeque<SourceEntry>> former = new HashMap<>();
     private final Map<String, Long> removals = new LinkedHashMap<>();
-    private final Map<Long, byte[]> packedByBase = new HashMap<>();
+    private final Map<Step, byte[]> packedBySteps = new HashMap<>();
     private long revision = -1;
 
     /** Removals after this revision are all remembered. */
     private long removalsSince = -1;
 
+    /** From one value of a key to a later one; many followers need the same difference. */
+    private record Step(String key, long fromRevision, long toRevision) {}
+
     /** Revision up to which this node knows the source; -1 before the first reading. */
     public long revision() {
         return revision;
@@ -69,7 +72,7 @@
             if (values.size() > MAX_FORMER) {
                 values.removeLast();
             }
-            packedByBase.clear();
+            packedBySteps.clear();
         }
         removals.remove(key);
         entries.put(key, new SourceEntry(key, entryRevision, value, false, false, 0));
@@ -126,9 +129,9 @@
         }
         SourceEntry base = heldAt(entry.key(), heldRevision);
         long baseRevision = base == null ? 0 : base.revision();
-        byte[] packed = packedByBase.computeIfAbsent(
-                entry.revision() << 20 ^ baseRevision,
-                pair -> ValueDelta.encode(base == null ? new byte[0] : base.value(), entry.value()));
+        byte[] packed = packedBySteps.computeIfAbsent(
+                new Step(entry.key(), baseRevision, entry.revision()),
+                step -> ValueDelta.encode(base == null ? new byte[0] : base.value(), entry.value()));
         return new SourceEntry(entry.key(), entry.revision(), packed, false, true, baseRevision);
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -89,9 +89,7 @@
                         "host",
                         host,
                         "reason",
-                        String.valueOf(failure),
-                        "answer",
-                        "" + message);
+                        failure == null ? message.getClass().getSimpleName() : failure.toString());
                 failures++;
                 upstreams.failed(host);
                 follow(revision, whole, result);
