Let late news not list a removed entry again

Cause: found by reading. A node asks the one that it follows and, while it is out of touch, other peers or the store as well. An answer that comes after a newer one could hold an entry whose removal the node had learned meanwhile; the entry was taken over, and its removal was never told again, because the node's revision lay past it. A server that had left could so be in use again. A late removal could also lower the revision of a later one.

Change: without an entry of the key, only one newer than the revision up to which the node knows the source is taken. Removals keep the greater revision.

Test: SourceLogTestCase, lateNewsListNoRemovedEntryAgain, failed before. Checked with the tests of the log, the reader and FollowingFleetTestCase.

--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
@@ -60,10 +60,14 @@
         return Set.copyOf(entries.keySet());
     }
 
-    /** Notes an entry; returns false, and changes nothing, when the one held is not older. */
+    /**
+     * Notes an entry; returns false, and changes nothing, when the one held is not older, or when there is none although
+     * all entries of that revision are known: it was removed since, and this is late news.
+     */
     public boolean put(String key, long entryRevision, byte[] value) {
         SourceEntry known = entries.get(key);
-        if (known != null && known.revision() >= entryRevision) {
+        long knownRevision = known == null ? revision : known.revision();
+        if (knownRevision >= entryRevision) {
             return false;
         }
         if (known != null && known.value().length >= MIN_PACKED_BYTES) {
@@ -87,7 +91,7 @@
         }
         entries.remove(key);
         former.remove(key);
-        removals.put(key, removalRevision);
+        removals.merge(key, removalRevision, Math::max);
         Iterator<Map.Entry<String, Long>> oldest = removals.entrySet().iterator();
         while (removals.size() > MAX_REMOVALS) {
             removalsSince = Math.max(removalsSince, oldest.next().getValue());
--- a/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceLogTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceLogTestCase.java
@@ -129,6 +129,26 @@
         assertThat(follower.put("a", 8, value(1)), is(false));
     }
 
+    /**
+     * Guards against a server that left and is in use again: the answer of one peer comes after that of another one, which
+     * knew of the removal.
+     */
+    @Test
+    void lateNewsListNoRemovedEntryAgain() {
+        upstream.put("a", 3, value(1));
+        upstream.reached(3);
+        follow();
+        upstream.put("b", 5, value(2));
+        upstream.reached(5);
+        SourceState late = upstream.newerThan(query(follower), 0);
+        upstream.remove("b", 7);
+        upstream.reached(7);
+        follow();
+        assertThat(follower.adopt(late), hasSize(0));
+        assertThat(follower.keys(), is(upstream.keys()));
+        assertThat("an event of a late watch", follower.put("b", 5, value(2)), is(false));
+    }
+
     /** Guards against a follower that differs from the source after any order of changes, asks and changes of upstream. */
     @Property(tries = 200, seed = "4813")
     void followersEndWithWhatTheSourceHolds(@ForAll Random random) {
