Compare connections, not their number, in the test of surplus answers

connectionWithAnAnswerOfAnotherRequestIsNotUsedAgain failed once: it expected one connection more than before, and the second call had taken the idle connection of a health check, which is a sound one. Cause of the count: the node opens that connection at its start, before the first call or after it. The test now demands that the second call does not travel on the connection that showed the answer of another request.

--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -20,6 +21,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.sameInstance;
 import static org.hamcrest.Matchers.startsWith;
 
 class RelayTestCase {
@@ -331,9 +333,10 @@
         });
         assertThat(call("GET", "/safe/1", "a", ""), endsWith("own"));
         fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.answer(request, 200, "ok")));
-        int before = fixture.target.connections();
         assertThat(call("GET", "/safe/2", "b", ""), endsWith("ok"));
-        assertThat(fixture.target.connections(), is(before + 1));
+        List<FakeTarget.Received> calls = fixture.target.calls();
+        assertThat(calls, hasSize(2));
+        assertThat(calls.get(1).connection(), not(sameInstance(calls.get(0).connection())));
     }
 
     /** Guards against a caller whose connection closes without a word when the grace time of its node is over. */
