--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceLog.java
@@ -83,6 +83,18 @@
         return true;
     }
 
+    /** Notes a whole entry or its removal; returns whether it changed anything. */
+    public boolean note(SourceEntry entry) {
+        return entry.removed()
+                ? remove(entry.key(), entry.revision())
+                : put(entry.key(), entry.revision(), entry.value());
+    }
+
+    /** The entry that says that a key is gone since a revision. */
+    public static SourceEntry removal(String key, long revision) {
+        return new SourceEntry(key, revision, new byte[0], true, false, 0);
+    }
+
     /** Notes that an entry is gone since a revision; returns whether there was an older one. */
     public boolean remove(String key, long removalRevision) {
         SourceEntry known = entries.get(key);
@@ -120,7 +132,7 @@
         if (follows) {
             removals.forEach((key, removed) -> {
                 if (removed > query.revision()) {
-                    changed.add(new SourceEntry(key, removed, new byte[0], true, false, 0));
+                    changed.add(removal(key, removed));
                 }
             });
         }
@@ -165,16 +177,13 @@
         }
         List<SourceEntry> changes = new ArrayList<>();
         for (SourceEntry entry : whole) {
-            boolean changed = entry.removed()
-                    ? remove(entry.key(), entry.revision())
-                    : put(entry.key(), entry.revision(), entry.value());
-            if (changed) {
+            if (note(entry)) {
                 changes.add(entry);
             }
         }
         for (String key : gone) {
             if (remove(key, peer.revision())) {
-                changes.add(new SourceEntry(key, peer.revision(), new byte[0], true, false, 0));
+                changes.add(removal(key, peer.revision()));
             }
         }
         if (!peer.keys().isEmpty()) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -48,8 +48,7 @@
         this.local = local;
         this.peers = peers;
         this.meters = meters;
-        this.peerPort = Integer.parseInt(
-                settings.peerAddress().substring(settings.peerAddress().lastIndexOf(':') + 1));
+        this.peerPort = settings.peerPort();
     }
 
     /** Serves one request; the returned handle ends it when its caller leaves. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -44,4 +44,10 @@
         long retryWindowMillis,
         long graceMillis,
         long changeBoundMillis,
-        ColdBound coldBound) {}
+        ColdBound coldBound) {
+
+    /** Port at which every node takes calls from other nodes. */
+    int peerPort() {
+        return Integer.parseInt(peerAddress.substring(peerAddress.lastIndexOf(':') + 1));
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -53,19 +53,13 @@
         this.link = link;
         this.view = view;
         this.placement = placement;
-        this.peerPort = peerPort(settings);
+        this.peerPort = settings.peerPort();
         this.seedHosts = settings.seedHosts();
         this.random = random;
         this.questions = questions;
         this.follower = follower;
     }
 
-    /** The port is the same on every node. */
-    private static int peerPort(RelaySettings settings) {
-        String address = settings.peerAddress();
-        return Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
-    }
-
     /**
      * Makes the exchange of one node.
      *
@@ -85,7 +79,7 @@
         Upstreams upstreams = new Upstreams(
                 settings.host(), settings.dataCentre(), settings.regionByDataCentre(), runtime.nanoTime());
         SourceFollower follower = new SourceFollower(
-                link, view, upstreams, peerPort(settings), settings.changeBoundMillis(), tasks, runtime.log());
+                link, view, upstreams, settings.peerPort(), settings.changeBoundMillis(), tasks, runtime.log());
         return new SourceExchange(
                 settings, link, view, placement, runtime.random(), new SourceQuestions(known, tasks), follower);
     }
