Count only the calls that are served before a call as ahead of it

The gate counted all waiting calls of the same priority as ahead, although its order serves the short one first; the wait for a slot followed the average service time, which short calls dominate, although long calls hold the slots; and a wait that an instance reported with the answer of one route kept calls of all routes away. Each refused internal call ended a running request with 500.

CallOrder holds the order and the estimate together, by the CallUrgency of a call: priority, then calls that can still meet their objective, then the latest start. The wait is reported and kept by route; instances are ranked by their load as before.

Test changed: countsLateCallsInWait let late calls with a deadline of a minute turn away a call that is due in 0.8 s and is served before them. Its pattern is a burst of like calls; it has their equal deadlines now, and checks both sides of the bound.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
@@ -3,10 +3,7 @@
 /** A call that requests a slot of the target. */
 public abstract class GateCall {
 
-    final String route;
-    final int priority;
-    final long objectiveNanos;
-    final long deadlineNanos;
+    final CallUrgency urgency;
     final boolean trial;
     final boolean hedge;
     final boolean fromOtherRegion;
@@ -23,25 +20,12 @@
     /**
      * Creates a call that has not been submitted yet.
      *
-     * @param priority 0 is the highest
-     * @param objectiveNanos latency objective in monotonic time: until then an answer has its full value
-     * @param deadlineNanos deadline in monotonic time: after it an answer has no value
      * @param trial whether this is a trial attempt, which is refused when it would probably miss its objective
      * @param hedge whether another target already has the call and may still answer it
      * @param fromOtherRegion whether the call comes from another region
      */
-    protected GateCall(
-            String route,
-            int priority,
-            long objectiveNanos,
-            long deadlineNanos,
-            boolean trial,
-            boolean hedge,
-            boolean fromOtherRegion) {
-        this.route = route;
-        this.priority = priority;
-        this.objectiveNanos = objectiveNanos;
-        this.deadlineNanos = deadlineNanos;
+    protected GateCall(CallUrgency urgency, boolean trial, boolean hedge, boolean fromOtherRegion) {
+        this.urgency = urgency;
         this.trial = trial;
         this.hedge = hedge;
         this.fromOtherRegion = fromOtherRegion;
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -1,14 +1,17 @@
 package io.jaywick.core.gate;
 
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 /**
  * Admission control of the local target. At most as many calls run at the target as it has slots; further calls are
- * queued by priority and then by latency objective. A call that cannot be answered before its deadline is refused at
- * once, and so is a trial attempt that would miss its objective, so that the caller can choose another instance. Not
- * thread-safe.
+ * queued in the order of {@link CallOrder}. A call that cannot be answered before its deadline is refused at once, and
+ * so is a trial attempt that would miss its objective, so that the caller can choose another instance. Not thread-safe.
  */
 public final class TargetGate {
 
@@ -36,9 +39,10 @@
     private final LongSupplier nanoTime;
     private final StartRateWindow recentStarts = new StartRateWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
+    private final CallOrder order = new CallOrder(serviceTimes);
     private final List<GateCall> waiting = new ArrayList<>();
+    private final Set<GateCall> runningCalls = new HashSet<>();
     private int slots = INITIAL_SLOTS;
-    private int running;
     private boolean cold;
     private long coldUntilNanos;
     private double coldCallsPerSecond;
@@ -67,7 +71,9 @@
     }
 
     private long effectiveDeadlineNanos(GateCall call) {
-        return hasShutdownDeadline && shutdownNanos - call.deadlineNanos < 0 ? shutdownNanos : call.deadlineNanos;
+        return hasShutdownDeadline && shutdownNanos - call.urgency.deadlineNanos() < 0
+                ? shutdownNanos
+                : call.urgency.deadlineNanos();
     }
 
     /**
@@ -86,7 +92,7 @@
     }
 
     public int running() {
-        return running;
+        return runningCalls.size();
     }
 
     public int waiting() {
@@ -105,16 +111,16 @@
             return GateRefusal.DEADLINE;
         }
         boolean coldBudgetExhausted = isColdBudgetExhausted(now);
-        boolean hasFreeSlot = running < slots && waiting.isEmpty() && !coldBudgetExhausted;
-        double serviceMillis = serviceTimes.averageMillis(call.route);
-        double expectedAnswerNanos = now + (waitMillis(call.priority) + serviceMillis) * NANOS_PER_MILLI;
-        double latestAnswerNanos =
-                call.objectiveNanos + (hasFreeSlot ? FREE_SLOT_TOLERANCE * (call.objectiveNanos - now) : 0);
+        boolean hasFreeSlot = running() < slots && waiting.isEmpty() && !coldBudgetExhausted;
+        double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
+        double expectedAnswerNanos = now + (expectedWaitMillis(call.urgency, now) + serviceMillis) * NANOS_PER_MILLI;
+        double latestAnswerNanos = call.urgency.objectiveNanos()
+                + (hasFreeSlot ? FREE_SLOT_TOLERANCE * (call.urgency.objectiveNanos() - now) : 0);
         // An idle target accepts a trial attempt even if it was slow; otherwise its recovery would not be observed.
-        if (call.trial && (running > 0 || coldBudgetExhausted) && expectedAnswerNanos > latestAnswerNanos) {
+        if (call.trial && (running() > 0 || coldBudgetExhausted) && expectedAnswerNanos > latestAnswerNanos) {
             return coldBudgetExhausted ? GateRefusal.COLD : GateRefusal.BUSY;
         }
-        boolean hasSpareSlots = running + waiting.size() < slots * SPARE_FRACTION;
+        boolean hasSpareSlots = running() + waiting.size() < slots * SPARE_FRACTION;
         if (call.trial && call.fromOtherRegion && !hasSpareSlots || call.hedge && (!hasSpareSlots || isCold())) {
             return GateRefusal.BUSY;
         }
@@ -131,34 +137,44 @@
     }
 
     /**
-     * Returns the expected wait in milliseconds of a call of the given priority that arrives now. Waiting calls that
-     * already miss their objective are counted, although they are served later: otherwise the queue would admit further
-     * calls ahead of them and hold the late ones until their deadlines pass.
+     * Returns the expected wait in milliseconds of a call like the given one that arrives now. It is the wait behind
+     * the calls that {@link CallOrder#servedBefore} names, as the others do not delay the call.
      */
-    public long waitMillis(int priority) {
+    public long waitMillis(CallUrgency call) {
+        return (long) Math.ceil(expectedWaitMillis(call, nanoTime.getAsLong()));
+    }
+
+    private double expectedWaitMillis(CallUrgency call, long now) {
         int ahead = 0;
         double aheadServiceMillis = 0;
-        for (GateCall call : waiting) {
-            if (call.priority <= priority) {
+        for (GateCall other : waiting) {
+            if (order.servedBefore(other.urgency, call, now)) {
                 ahead++;
-                aheadServiceMillis += serviceTimes.averageMillis(call.route);
+                aheadServiceMillis += serviceTimes.averageMillis(other.urgency.route());
             }
         }
-        return (long) Math.ceil(waitMillis(ahead, aheadServiceMillis, nanoTime.getAsLong()));
+        return waitMillis(ahead, aheadServiceMillis, now);
     }
 
-    /** Returns the expected milliseconds until the answer of an average call of the given priority that arrives now. */
-    public long expectedMillis(int priority) {
-        return waitMillis(priority) + (long) serviceTimes.overallAverageMillis();
+    /**
+     * Returns the expected milliseconds until the answer of an average call that is served after all waiting ones. It
+     * describes the load of the target, whatever the kinds of the calls.
+     */
+    public long expectedMillis() {
+        double waitingServiceMillis = 0;
+        for (GateCall call : waiting) {
+            waitingServiceMillis += serviceTimes.averageMillis(call.urgency.route());
+        }
+        double waitMillis = waitMillis(waiting.size(), waitingServiceMillis, nanoTime.getAsLong());
+        return (long) Math.ceil(waitMillis + serviceTimes.overallAverageMillis());
     }
 
     /**
      * Returns the wait behind calls with the given total service time: for a slot, and for the rate of a cold target.
      */
     private double waitMillis(int ahead, double aheadServiceMillis, long now) {
-        double slotWaitMillis = running < slots && waiting.isEmpty()
-                ? 0
-                : (serviceTimes.overallAverageMillis() + aheadServiceMillis) / slots;
+        boolean hasFreeSlot = running() < slots && waiting.isEmpty();
+        double slotWaitMillis = hasFreeSlot ? 0 : millisUntilFreeSlot() + aheadServiceMillis / slots;
         if (!isCold()) {
             return slotWaitMillis;
         }
@@ -167,6 +183,18 @@
                 slotWaitMillis, Math.min(millisUntilWarm, recentStarts.waitMillis(ahead, coldCallsPerSecond, now)));
     }
 
+    /**
+     * Returns the expected milliseconds until the first running call ends. A target whose slots are all taken by long
+     * calls frees one less often than its average service time suggests, because short calls dominate the average.
+     */
+    private double millisUntilFreeSlot() {
+        double endsPerMilli = 0;
+        for (GateCall call : runningCalls) {
+            endsPerMilli += 1 / serviceTimes.averageMillis(call.urgency.route());
+        }
+        return endsPerMilli == 0 ? 0 : 1 / endsPerMilli;
+    }
+
     /**
      * Releases the slot of a running call that was answered, lost or abandoned by its caller. The service time of an
      * answered call updates the estimates. That of any other call does so only if it is longer than expected, because a
@@ -177,10 +205,10 @@
             return;
         }
         call.state = GateCall.State.ENDED;
-        running--;
+        runningCalls.remove(call);
         long serviceNanos = nanoTime.getAsLong() - call.startedNanos;
-        if (answered || serviceNanos > serviceTimes.averageMillis(call.route) * NANOS_PER_MILLI) {
-            serviceTimes.record(call.route, serviceNanos);
+        if (answered || serviceNanos > serviceTimes.averageMillis(call.urgency.route()) * NANOS_PER_MILLI) {
+            serviceTimes.record(call.urgency.route(), serviceNanos);
         }
         dispatch();
     }
@@ -205,7 +233,7 @@
     public void dispatch() {
         long now = nanoTime.getAsLong();
         refuseLateCalls(now);
-        while (running < slots && !waiting.isEmpty() && !isColdBudgetExhausted(now)) {
+        while (running() < slots && !waiting.isEmpty() && !isColdBudgetExhausted(now)) {
             GateCall next = mostUrgent(now);
             waiting.remove(next);
             start(next, now);
@@ -218,11 +246,11 @@
             return;
         }
         List<GateCall> inOrder = new ArrayList<>(waiting);
-        inOrder.sort((a, b) -> precedes(a, b, now) ? -1 : precedes(b, a, now) ? 1 : 0);
+        inOrder.sort(orderAt(now));
         int ahead = 0;
         double aheadServiceMillis = 0;
         for (GateCall call : inOrder) {
-            double serviceMillis = serviceTimes.averageMillis(call.route);
+            double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
             double waitMillis = ahead == 0 ? 0 : waitMillis(ahead, aheadServiceMillis, now);
             if (now + (waitMillis + serviceMillis / 2) * NANOS_PER_MILLI > effectiveDeadlineNanos(call)) {
                 refuse(call, GateRefusal.DEADLINE);
@@ -243,32 +271,17 @@
     private void start(GateCall call, long now) {
         call.state = GateCall.State.RUNNING;
         call.startedNanos = now;
-        running++;
+        runningCalls.add(call);
         recentStarts.recordStart(now);
         call.onAdmitted();
     }
 
     private GateCall mostUrgent(long now) {
-        GateCall mostUrgent = null;
-        for (GateCall call : waiting) {
-            if (mostUrgent == null || precedes(call, mostUrgent, now)) {
-                mostUrgent = call;
-            }
-        }
-        return mostUrgent;
+        return Collections.min(waiting, orderAt(now));
     }
 
-    /** Orders by priority; then by whether a call can still meet its objective; then by the earliest objective. */
-    private boolean precedes(GateCall a, GateCall b, long now) {
-        if (a.priority != b.priority) {
-            return a.priority < b.priority;
-        }
-        boolean aInTime = now + serviceTimes.averageMillis(a.route) * NANOS_PER_MILLI <= a.objectiveNanos;
-        boolean bInTime = now + serviceTimes.averageMillis(b.route) * NANOS_PER_MILLI <= b.objectiveNanos;
-        if (aInTime != bInTime) {
-            return aInTime;
-        }
-        return a.objectiveNanos < b.objectiveNanos;
+    private Comparator<GateCall> orderAt(long now) {
+        return Comparator.comparing(call -> call.urgency, order.at(now));
     }
 
     private boolean isColdBudgetExhausted(long now) {
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
@@ -96,7 +96,7 @@
     }
 
     private boolean isTooLate(Instance instance, long remainingMillis) {
-        double waitMillis = selector.waitMillis(instance);
+        double waitMillis = selector.waitMillis(instance, route);
         if (waitMillis <= remainingMillis) {
             return false;
         }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -1,5 +1,8 @@
 package io.jaywick.core.placement;
 
+import java.util.HashMap;
+import java.util.Map;
+
 /** Load and failures of one instance as one node observes them. Not thread-safe. */
 final class InstanceLoad {
 
@@ -18,13 +21,22 @@
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private int inFlight;
-    private double reportedExpectedMillis;
-    private double reportedWaitMillis;
-    private long reportedNanos;
+    private final Map<String, Report> waitByRoute = new HashMap<>();
+    private Report expected = Report.NONE;
     private long avoidUntilNanos;
     private int consecutiveFailures;
     private boolean avoided;
 
+    /** A reported time; it loses weight with its age. */
+    private record Report(double millis, long nanos) {
+        static final Report NONE = new Report(0, 0);
+
+        double weightedMillis(long nowNanos) {
+            double ageMillis = (nowNanos - nanos) / NANOS_PER_MILLI;
+            return ageMillis > MAX_REPORT_AGE_MILLIS ? 0 : millis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
+        }
+    }
+
     void recordAttemptStart() {
         inFlight++;
     }
@@ -33,10 +45,13 @@
         inFlight--;
     }
 
-    void recordReport(long expectedMillis, long waitMillis, long nowNanos) {
-        reportedExpectedMillis = expectedMillis;
-        reportedWaitMillis = waitMillis;
-        reportedNanos = nowNanos;
+    /**
+     * Records what the instance reported with an answer to a call of a route. The expected time describes the load of
+     * the instance, but the wait differs from route to route.
+     */
+    void recordReport(String route, long expectedMillis, long waitMillis, long nowNanos) {
+        expected = new Report(expectedMillis, nowNanos);
+        waitByRoute.put(route, new Report(waitMillis, nowNanos));
     }
 
     void recordSuccess() {
@@ -60,22 +75,15 @@
     }
 
     /**
-     * Returns the last reported wait in milliseconds until a call reaches the target, reduced by the age of the report.
+     * Returns the last reported wait in milliseconds until a call of the route reaches the target, reduced by the age of
+     * the report.
      */
-    double waitMillis(long nowNanos) {
-        return reportedWaitMillis * weight(nowNanos);
-    }
-
-    private double weight(long nowNanos) {
-        double ageMillis = (nowNanos - reportedNanos) / NANOS_PER_MILLI;
-        if (ageMillis > MAX_REPORT_AGE_MILLIS) {
-            return 0;
-        }
-        return Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
+    double waitMillis(String route, long nowNanos) {
+        return waitByRoute.getOrDefault(route, Report.NONE).weightedMillis(nowNanos);
     }
 
     /** Returns the expected milliseconds until the answer of a call sent now; each attempt in flight adds one. */
     double score(long nowNanos) {
-        return reportedExpectedMillis * weight(nowNanos) + inFlight;
+        return expected.weightedMillis(nowNanos) + inFlight;
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -60,7 +60,7 @@
     public boolean canAnswerWithin(Instance instance, String route, long withinMillis) {
         long now = nanoTime.getAsLong();
         return withinMillis > 0
-                && load(instance.id()).waitMillis(now) <= withinMillis
+                && load(instance.id()).waitMillis(route, now) <= withinMillis
                 && (distance(instance) != Distance.OTHER_REGION
                         || !regionBackoff.isBackingOff(region(instance), instance.service(), route, now));
     }
@@ -84,10 +84,11 @@
     }
 
     /**
-     * Returns the wait in milliseconds until a call sent now reaches the target of an instance, estimated from reports.
+     * Returns the wait in milliseconds until a call of the route that is sent now reaches the target of an instance,
+     * estimated from reports.
      */
-    double waitMillis(Instance instance) {
-        return load(instance.id()).waitMillis(nanoTime.getAsLong());
+    double waitMillis(Instance instance, String route) {
+        return load(instance.id()).waitMillis(route, nanoTime.getAsLong());
     }
 
     private record ScoredInstance(Instance instance, Distance distance, boolean unreliable, double score) {}
@@ -190,10 +191,10 @@
      * Records the load that the node next to an instance reported with an answer or a refusal.
      *
      * @param expectedMillis expected time until the answer of an average call
-     * @param waitMillis part of that time before the target receives the call
+     * @param waitMillis expected wait of a call of the route before the target receives it
      */
-    public void recordLoad(String instanceId, long expectedMillis, long waitMillis) {
-        load(instanceId).recordReport(expectedMillis, waitMillis, nanoTime.getAsLong());
+    public void recordLoad(String instanceId, String route, long expectedMillis, long waitMillis) {
+        load(instanceId).recordReport(route, expectedMillis, waitMillis, nanoTime.getAsLong());
     }
 
     public void recordSuccess(String instanceId) {
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -18,6 +18,8 @@
 
 class TargetGateTestCase {
 
+    private static final String ROUTE = "route";
+
     private final AtomicLong nanos = new AtomicLong();
     private final TargetGate gate = new TargetGate(nanos::get);
     private final List<String> started = new ArrayList<>();
@@ -32,25 +34,11 @@
         }
 
         Call(String name, int priority, long objectiveMillis, long deadlineMillis, boolean trial, boolean foreign) {
-            this(name, priority, objectiveMillis, deadlineMillis, trial, false, foreign);
+            this(name, urgency(ROUTE, priority, objectiveMillis, deadlineMillis), trial, false, foreign);
         }
 
-        Call(
-                String name,
-                int priority,
-                long objectiveMillis,
-                long deadlineMillis,
-                boolean trial,
-                boolean hedge,
-                boolean foreign) {
-            super(
-                    "route",
-                    priority,
-                    nanos.get() + TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
-                    nanos.get() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
-                    trial,
-                    hedge,
-                    foreign);
+        Call(String name, CallUrgency urgency, boolean trial, boolean hedge, boolean foreign) {
+            super(urgency, trial, hedge, foreign);
             this.name = name;
         }
 
@@ -66,6 +54,14 @@
         }
     }
 
+    private CallUrgency urgency(String route, int priority, long objectiveMillis, long deadlineMillis) {
+        return new CallUrgency(
+                route,
+                priority,
+                nanos.get() + TimeUnit.MILLISECONDS.toNanos(objectiveMillis),
+                nanos.get() + TimeUnit.MILLISECONDS.toNanos(deadlineMillis));
+    }
+
     private Call call(String name) {
         return new Call(name, 1, 1_000, 5_000, false);
     }
@@ -149,10 +145,12 @@
     void countsLateCallsInWait() {
         gate.setSlots(1);
         gate.submit(call("running"));
-        for (int i = 0; i < 20; i++) {
-            gate.submit(new Call("late " + i, 1, 1, 60_000, false));
+        for (int i = 0; i < 25; i++) {
+            assertThat(gate.submit(new Call("late " + i, 1, 1, 1_400, false)), nullValue());
         }
-        assertThat(gate.submit(new Call("unanswerable", 1, 400, 800, false)), is(GateRefusal.OVERLOADED));
+        pass(100);
+        assertThat(gate.submit(new Call("unanswerable", 1, 400, 1_310, false)), is(GateRefusal.OVERLOADED));
+        assertThat(gate.submit(new Call("answerable", 1, 400, 1_400, false)), nullValue());
     }
 
     /** Guards against regions that exchange calls over paid links in a burst in all regions. */
@@ -168,7 +166,7 @@
     }
 
     private Call hedge(String name) {
-        return new Call(name, 1, 1_000, 5_000, true, true, false);
+        return new Call(name, urgency(ROUTE, 1, 1_000, 5_000), true, true, false);
     }
 
     /** Guards against hedges that use the slots and the cold-start budget that original calls need (power_off_all). */
@@ -340,7 +338,7 @@
         gate.setSlots(100);
         gate.setColdStartLimit(TimeUnit.MILLISECONDS.toNanos(200), 1);
         gate.submit(call("first"));
-        assertThat(gate.waitMillis(1), is(200L));
+        assertThat(gate.waitMillis(urgency(ROUTE, 1, 1_000, 5_000)), is(200L));
     }
 
     /** Guards against a call that, overtaken by more urgent ones in a burst, is refused only at its deadline. */
@@ -356,6 +354,60 @@
         assertThat(refused, contains("overtaken deadline"));
     }
 
+    private static final String LONG_ROUTE = "long reads";
+    private static final String SHORT_ROUTE = "short internal calls";
+
+    private Call longRead(String name) {
+        return new Call(name, urgency(LONG_ROUTE, 2, 2_500, 8_000), false, false, false);
+    }
+
+    private Call shortCall(String name, boolean trial) {
+        return new Call(name, urgency(SHORT_ROUTE, 2, 200, 600), trial, false, false);
+    }
+
+    /** Lets the gate observe service times of 900 and 50 ms, of which the short ones are far more frequent. */
+    private void observeLongAndShortCalls() {
+        for (int i = 0; i < 50; i++) {
+            gate.submit(i % 10 == 0 ? longRead("observed") : shortCall("observed", false));
+            pass(i % 10 == 0 ? 900 : 50);
+            endRunning();
+        }
+        started.clear();
+    }
+
+    /**
+     * Pattern: short internal calls beside long reads. Guards against short calls that are refused because the work of
+     * long ones that wait, which start later, is counted as ahead of them.
+     */
+    @Test
+    void longReadsThatWaitDoNotTurnShortCallsAway() {
+        gate.setSlots(4);
+        observeLongAndShortCalls();
+        for (int i = 0; i < 12; i++) {
+            gate.submit(longRead("read " + i));
+        }
+        assertThat(gate.submit(shortCall("short", false)), nullValue());
+        assertThat(gate.waitMillis(urgency(SHORT_ROUTE, 2, 200, 600)), lessThanOrEqualTo(600L));
+        assertThat(gate.waitMillis(urgency(LONG_ROUTE, 2, 2_500, 8_000)), greaterThan(1_000L));
+        started.clear();
+        gate.release(atTarget.get(0), true);
+        assertThat(started, contains("short"));
+    }
+
+    /**
+     * Pattern: short internal calls beside long reads. Guards against a trial attempt of a short call at a target whose
+     * slots are taken by long ones, where it would wait for the end of a long call.
+     */
+    @Test
+    void waitForSlotDependsOnRunningCalls() {
+        gate.setSlots(2);
+        observeLongAndShortCalls();
+        gate.submit(new Call("urgent read 1", urgency(LONG_ROUTE, 0, 2_500, 8_000), false, false, false));
+        gate.submit(new Call("urgent read 2", urgency(LONG_ROUTE, 0, 2_500, 8_000), false, false, false));
+        assertThat(gate.waitMillis(urgency(SHORT_ROUTE, 2, 200, 600)), greaterThan(300L));
+        assertThat(gate.submit(shortCall("short", true)), is(GateRefusal.BUSY));
+    }
+
     /** Guards against slots and queue positions that stay occupied by calls of disconnected callers. */
     @Test
     void cancelledCallsReleaseSlotAndQueuePosition() {
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
@@ -144,8 +144,8 @@
     @Test
     void skipsTrialAttemptsAtInstancesWithLongWait() {
         AttemptPlan plan = plan(2);
-        selector.recordLoad("i-1", 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
-        selector.recordLoad("i-2", 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
+        selector.recordLoad("i-1", ROUTE, 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
+        selector.recordLoad("i-2", ROUTE, 5 * OBJECTIVE_MILLIS, 5 * OBJECTIVE_MILLIS);
         AttemptPlan.Choice choice = plan.nextAttempt(OBJECTIVE_MILLIS, 10 * REMAINING_MILLIS);
         assertThat(choice.purpose(), is(AttemptPurpose.LAST_RESORT));
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(1));
@@ -156,8 +156,8 @@
     @Test
     void refusesAtOnceWhenNoInstanceCanAnswerInTime() {
         AttemptPlan plan = plan(2);
-        selector.recordLoad("i-1", 5 * REMAINING_MILLIS, 5 * REMAINING_MILLIS);
-        selector.recordLoad("i-2", 3 * REMAINING_MILLIS, 3 * REMAINING_MILLIS);
+        selector.recordLoad("i-1", ROUTE, 5 * REMAINING_MILLIS, 5 * REMAINING_MILLIS);
+        selector.recordLoad("i-2", ROUTE, 3 * REMAINING_MILLIS, 3 * REMAINING_MILLIS);
         assertThat(plan.nextAttempt(OBJECTIVE_MILLIS, REMAINING_MILLIS), nullValue());
         assertThat(plan.isExhausted(), is(false));
         assertThat(plan.minWaitMillis(), is(3 * REMAINING_MILLIS));
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
@@ -22,6 +22,7 @@
 
 class InstanceSelectorTestCase {
 
+    private static final String ROUTE = "route";
     private static final Map<String, String> REGIONS = Map.of("a1", "a", "a2", "a", "b1", "b");
 
     private final AtomicLong nanos = new AtomicLong();
@@ -88,9 +89,9 @@
     @Test
     void ranksInstancesAtSameDistanceByReportedLoad() {
         FleetView view = view(Set.of(), instance("x", "10.0.0.2", "a1", false), instance("y", "10.0.0.3", "a1", false));
-        selector.recordLoad("x", 100, 0);
+        selector.recordLoad("x", ROUTE, 100, 0);
         assertThat(rankedIds(view, Set.of()), contains("y", "x"));
-        selector.recordLoad("y", 300, 0);
+        selector.recordLoad("y", ROUTE, 300, 0);
         assertThat(rankedIds(view, Set.of()), contains("x", "y"));
     }
 
@@ -117,27 +118,39 @@
     @Test
     void lastResortIsSoonestInstanceThatDidNotFail() {
         selector.recordFailure("own");
-        selector.recordLoad("centre", 300, 0);
-        selector.recordLoad("region", 40, 0);
-        selector.recordLoad("far", 10, 0);
+        selector.recordLoad("centre", ROUTE, 300, 0);
+        selector.recordLoad("region", ROUTE, 40, 0);
+        selector.recordLoad("far", ROUTE, 10, 0);
         assertThat(
                 selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()))
                         .id(),
                 is("region"));
-        selector.recordLoad("region", 900, 0);
+        selector.recordLoad("region", ROUTE, 900, 0);
         assertThat(
                 selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()))
                         .id(),
                 is("far"));
     }
 
+    /**
+     * Guards against short calls that are kept away from an instance because long calls of another route wait there for
+     * long.
+     */
+    @Test
+    void reportsOfOneRouteDoNotAffectAnother() {
+        selector.recordLoad("own", "long reads", 4_000, 4_000);
+        Instance own = fullView.instance("own");
+        assertThat(selector.canAnswerWithin(own, "long reads", 1_000), is(false));
+        assertThat(selector.canAnswerWithin(own, ROUTE, 1_000), is(true));
+    }
+
     /** Guards against paid traffic between regions for a call that its own region would answer about as soon. */
     @Test
     void lastResortStaysInRegionUnlessOtherIsMuchSooner() {
-        selector.recordLoad("own", 180, 0);
-        selector.recordLoad("centre", 180, 0);
-        selector.recordLoad("region", 180, 0);
-        selector.recordLoad("far", 10, 0);
+        selector.recordLoad("own", ROUTE, 180, 0);
+        selector.recordLoad("centre", ROUTE, 180, 0);
+        selector.recordLoad("region", ROUTE, 180, 0);
+        selector.recordLoad("far", ROUTE, 10, 0);
         Instance lastResort = selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()));
         assertThat(selector.distance(lastResort), lessThan(Distance.OTHER_REGION));
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -11,7 +11,7 @@
  * @param status HTTP status of a response, else 0
  * @param headers alternating names and values of a response, else empty
  * @param expectedMillis time until the response to an average call that reaches the instance now; -1 when unknown
- * @param waitMillis part of {@code expectedMillis} before the call reaches the target; -1 when unknown
+ * @param waitMillis wait of a call of the same route before it reaches the target; -1 when unknown
  */
 public record CallResult(
         Outcome outcome,
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -5,6 +5,7 @@
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.gate.CallUrgency;
 import io.jaywick.core.gate.GateCall;
 import io.jaywick.core.gate.GateRefusal;
 import io.jaywick.core.gate.RunningRequestPriorities;
@@ -231,7 +232,7 @@
                         "cold",
                         gate.isCold(),
                         "expectedMillis",
-                        gate.expectedMillis(call.priority()),
+                        gate.expectedMillis(),
                         "objectiveMillis",
                         call.objectiveMillis(),
                         "remainingMillis",
@@ -260,9 +261,19 @@
         return refusal == GateRefusal.LEAVING || refusal == GateRefusal.UNKNOWN_INSTANCE;
     }
 
-    /** Adds the times that a further call of this priority has to expect. */
+    /** Adds the load of the target and the wait of another call like this one that arrives now. */
     private CallResult withLoadEstimate(CallResult result, ForwardCall call) {
-        return result.withLoadEstimate(gate.expectedMillis(call.priority()), gate.waitMillis(call.priority()));
+        return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)));
+    }
+
+    /** Returns the urgency of a call that arrives now with the times of the given one. */
+    private CallUrgency urgencyNow(ForwardCall call) {
+        long now = context.nanoTime();
+        return new CallUrgency(
+                call.route(),
+                call.priority(),
+                now + call.objectiveMillis() * NANOS_PER_MILLI,
+                now + call.remainingMillis() * NANOS_PER_MILLI);
     }
 
     /** A call from its submission to the gate until its result. */
@@ -274,14 +285,7 @@
         private boolean ended;
 
         LocalCall(ForwardCall call, Consumer<CallResult> onResult) {
-            super(
-                    call.route(),
-                    call.priority(),
-                    context.nanoTime() + call.objectiveMillis() * NANOS_PER_MILLI,
-                    context.nanoTime() + call.remainingMillis() * NANOS_PER_MILLI,
-                    call.trial(),
-                    call.hedge(),
-                    call.foreign());
+            super(urgencyNow(call), call.trial(), call.hedge(), call.foreign());
             this.call = call;
             this.onResult = onResult;
             this.deadlineNanos = context.nanoTime() + call.remainingMillis() * NANOS_PER_MILLI;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -200,7 +200,8 @@
     private void handleResult(Attempt attempt, CallResult result) {
         Instance instance = attempt.instance();
         if (result.expectedMillis() >= 0) {
-            calls.instanceSelector().recordLoad(instance.id(), result.expectedMillis(), result.waitMillis());
+            calls.instanceSelector()
+                    .recordLoad(instance.id(), routed.route().name(), result.expectedMillis(), result.waitMillis());
         }
         if (ended) {
             return;
