Let a draining node accept calls to its target at first

Cause: nodes that restart in turn refused all calls to their targets from SIGTERM on, while the targets went on running and the nodes waited 2.3 s for their readiness to be noticed.

For a quarter of the grace time the target still gets calls that are expected to end before the shutdown; then peers get GoAway and further calls are refused as not run. Ruled out: accepting until the end, which would delay the restart.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -42,14 +42,18 @@
     }
 
     /**
-     * Refuses further calls. Running calls continue, and so do queued ones that can be answered before the given
-     * monotonic time.
+     * Accepts only calls that are expected to end before the given monotonic time, and refuses queued ones that can no
+     * longer do so.
      */
-    void drain(long endNanos) {
-        draining = true;
+    void setShutdownDeadline(long endNanos) {
         gate.setShutdownDeadline(endNanos);
     }
 
+    /** Refuses further calls because the node is draining; accepted ones continue. */
+    void refuseNew() {
+        draining = true;
+    }
+
     /** Refuses the queued calls because the node shuts down; none of them was executed. */
     void refuseQueued() {
         gate.refuseWaiting(GateRefusal.LEAVING);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -68,6 +68,12 @@
      */
     private static final double REFUSE_AFTER_GRACE_FRACTION = 0.45;
 
+    /**
+     * Fraction of the grace period during which a draining node still accepts calls to its target that are expected to
+     * end before the shutdown: the node waits that long for its callers anyway, and other targets may be at capacity.
+     */
+    private static final double ACCEPT_DURING_GRACE_FRACTION = 0.25;
+
     /** Time between the planned shutdown and the forced end of the process. */
     private static final long SHUTDOWN_MARGIN_MILLIS = 500;
 
@@ -101,6 +107,7 @@
     private volatile boolean isReady;
     private volatile boolean draining;
     private long drainStartNanos;
+    private boolean refusingCallsToLocalTarget;
     private boolean callsAborted;
 
     public Relay(RelaySettings settings, HeaderNames names, NodeRuntime runtime, PrometheusMeterRegistry registry) {
@@ -240,9 +247,9 @@
     }
 
     /**
-     * Drains the node: its readiness probe fails, other nodes are notified to send their calls elsewhere, and each
-     * connection of a local caller is closed after its next response. The future completes when no call is in flight,
-     * or shortly before the forced end of the process.
+     * Drains the node: its readiness probe fails, each connection of a local caller is closed after its next response,
+     * and after a part of the grace period other nodes are notified to send their calls elsewhere. The future completes
+     * when no call is in flight, or shortly before the forced end of the process.
      */
     public CompletableFuture<Void> drain() {
         loop.execute(() -> {
@@ -259,8 +266,7 @@
                     peerCalls.accepted());
             long endMillis = settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS - RESPONSE_MARGIN_MILLIS;
             drainDeadline.set(drainStartNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, endMillis)));
-            localTarget.drain(drainDeadline.endNanos());
-            peerServer.sendGoAway();
+            localTarget.setShutdownDeadline(drainDeadline.endNanos());
             sourceExchange.drain();
             clientListener.drain();
             loop.scheduleAtFixedRate(
@@ -275,6 +281,9 @@
     private void checkDrained() {
         long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - drainStartNanos);
         boolean isOverdue = elapsedMillis >= settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS;
+        if (elapsedMillis >= settings.graceMillis() * ACCEPT_DURING_GRACE_FRACTION) {
+            refuseCallsToLocalTarget(elapsedMillis);
+        }
         if (elapsedMillis >= settings.graceMillis() * REFUSE_AFTER_GRACE_FRACTION) {
             outboundCalls.refuseNew();
         }
@@ -294,6 +303,23 @@
         }
     }
 
+    private void refuseCallsToLocalTarget(long elapsedMillis) {
+        if (refusingCallsToLocalTarget) {
+            return;
+        }
+        refusingCallsToLocalTarget = true;
+        log.info(
+                "draining node refuses calls to its target",
+                "afterMillis",
+                elapsedMillis,
+                "running",
+                localTarget.running(),
+                "waiting",
+                localTarget.waiting());
+        localTarget.refuseNew();
+        peerServer.sendGoAway();
+    }
+
     /** Aborts the calls in flight; their responses are written before the next drain check, which ends the drain. */
     private void abortCalls(long elapsedMillis) {
         callsAborted = true;
