Refuse calls that may outlast the shutdown of a draining node

Cause, found in reading: a call that gets a free slot at once was not compared with the shutdown, and since a draining node accepts calls at first, a long one would have been cut off without an answer. It is refused as not run unless the wait and three times its average service time are left.

Failed first: refusesCallsThatMayOutlastTheShutdownDespiteFreeSlot.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -31,6 +31,12 @@
      */
     private static final double FREE_SLOT_TOLERANCE = 1.0;
 
+    /**
+     * A call is accepted before a shutdown only if this multiple of its average service time is left, because few calls
+     * take longer and those that do are cut off.
+     */
+    private static final double SHUTDOWN_SERVICE_FACTOR = 3;
+
     /** Bounds the memory of the queue; the deadlines of the calls keep it far shorter. */
     private static final int MAX_WAITING = 512;
 
@@ -110,6 +116,9 @@
         if (now - effectiveDeadlineNanos(call) >= 0) {
             return GateRefusal.DEADLINE;
         }
+        if (mayOutlastShutdown(call.urgency, now)) {
+            return GateRefusal.LEAVING;
+        }
         boolean coldBudgetExhausted = isColdBudgetExhausted(now);
         boolean hasFreeSlot = running() < slots && waiting.isEmpty() && !coldBudgetExhausted;
         double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
@@ -136,6 +145,12 @@
         return null;
     }
 
+    private boolean mayOutlastShutdown(CallUrgency call, long now) {
+        double longMillis = SHUTDOWN_SERVICE_FACTOR * serviceTimes.averageMillis(call.route());
+        return hasShutdownDeadline
+                && now + (expectedWaitMillis(call, now) + longMillis) * NANOS_PER_MILLI > shutdownNanos;
+    }
+
     /**
      * Returns the expected wait in milliseconds of a call like the given one that arrives now. It is the wait behind
      * the calls that {@link CallOrder#servedBefore} names, as the others do not delay the call.
