--- a/review/standins/review/AppServer.java
+++ b/review/standins/review/AppServer.java
@@ -27,6 +27,7 @@
     final int slotCount;
     private final ServerSocket listener;
     private final Recorder record;
+    private final Set<String> begun;
     private final Semaphore slots;
     final ToIntFunction<HttpMessage> workMillis;
     final ToIntFunction<HttpMessage> bodyBytes;
@@ -34,9 +35,6 @@
     private final AtomicInteger runs = new AtomicInteger();
     private final AtomicBoolean gone = new AtomicBoolean();
 
-    /** Ids of the requests that this server has begun to run. */
-    final Set<String> begun = ConcurrentHashMap.newKeySet();
-
     private final Queue<Long> beginNanos = new ConcurrentLinkedQueue<>();
 
     AppServer(
@@ -46,12 +44,14 @@
             String service,
             int slots,
             Recorder record,
+            Set<String> begun,
             ToIntFunction<HttpMessage> workMillis,
             ToIntFunction<HttpMessage> bodyBytes)
             throws IOException {
         this.id = id;
         this.service = service;
         this.record = record;
+        this.begun = begun;
         this.slotCount = slots;
         this.slots = new Semaphore(slots, true);
         this.workMillis = workMillis;
--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -8,6 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.ToIntFunction;
 
 /** A small deployment on loopback addresses: the store, and machines with one application server and one node each. */
@@ -25,13 +28,17 @@
     final Recorder record;
     final Store store;
     final List<Node> nodes = new ArrayList<>();
-    final List<AppServer> servers = new ArrayList<>();
+    final List<AppServer> servers = new CopyOnWriteArrayList<>();
+
+    /** Ids of the requests that any server has begun to run. */
+    private final Set<String> begun = ConcurrentHashMap.newKeySet();
+
     private final Path root;
     private final Path directory;
     private final String network;
     private final List<String> routeRows = new ArrayList<>();
     private final List<String> serviceRows = new ArrayList<>();
-    private final List<String> formerIds = new ArrayList<>();
+    private final List<String> formerIds = new CopyOnWriteArrayList<>();
     private String limits = "";
     private int version = 7;
 
@@ -117,7 +124,7 @@
         int number = nodes.size() + 1;
         String host = network + "." + number;
         AppServer server =
-                new AppServer(host, Node.APP_PORT, "i-" + number, service, slots, record, workMillis, bodyBytes);
+                new AppServer(host, Node.APP_PORT, "i-" + number, service, slots, record, begun, workMillis, bodyBytes);
         servers.add(server);
         nodes.add(new Node(
                 root,
@@ -157,7 +164,7 @@
         Node node = nodes.get(index);
         long slowUntilNanos = System.nanoTime() + slowMillis * 1_000_000L;
         AppServer restarted = new AppServer(
-                node.host, Node.APP_PORT, former.id + "b", former.service, former.slotCount, record, request ->
+                node.host, Node.APP_PORT, former.id + "b", former.service, former.slotCount, record, begun, request ->
                         former.workMillis.applyAsInt(request)
                                 + (System.nanoTime() < slowUntilNanos ? slowWorkMillis : 0), former.bodyBytes);
         servers.set(index, restarted);
@@ -166,7 +173,13 @@
     }
 
     void expireFormerEntries() {
-        store.remove(formerIds);
+        store.remove(List.copyOf(formerIds));
+        formerIds.clear();
+    }
+
+    /** Whether any server has begun to run a request. */
+    boolean hasBegun(String requestId) {
+        return begun.contains(requestId);
     }
 
     void start() throws Exception {
--- a/review/standins/review/PipelineDepthCase.java
+++ b/review/standins/review/PipelineDepthCase.java
@@ -26,18 +26,17 @@
         fleet.addService("huvo11a");
         fleet.addRoute("r-1", "/lohu930/", "safe", 2_000, "huvo11a");
         fleet.writeConfig();
-        AppServer server =
-                fleet.addMachine("caerdydd", "de-cymru", "huvo11a", 6, request -> 30, request -> 1_000);
+        fleet.addMachine("caerdydd", "de-cymru", "huvo11a", 6, request -> 30, request -> 1_000);
         fleet.start();
         AtomicInteger lost = new AtomicInteger();
         for (int i = 1; i <= CLIENTS; i++) {
-            client(fleet, server, i, trouble ? DEEP : SHALLOW, lost);
+            client(fleet, i, trouble ? DEEP : SHALLOW, lost);
         }
         fleet.record.add("LOST IN ALL", "count", lost.get(), "allowed", ALLOWED);
         return Math.max(0, lost.get() - ALLOWED);
     }
 
-    static void client(Fleet fleet, AppServer server, int number, int depth, AtomicInteger lost) throws Exception {
+    static void client(Fleet fleet, int number, int depth, AtomicInteger lost) throws Exception {
         int answered = 0;
         try (Client client = new Client(fleet.nodes.get(0).host, Node.OUTBOUND_PORT, 0, 5_000)) {
             // One request and its answer first: the connection is a kept one.
@@ -61,7 +60,7 @@
         }
         fleet.record.add("CLIENT", "number", number, "sent", depth, "answered", answered);
         for (int i = answered + 1; i <= depth; i++) {
-            if (server.begun.contains(number + "-" + i)) {
+            if (fleet.hasBegun(number + "-" + i)) {
                 fleet.record.add("LOST", "id", number + "-" + i, "passedOn", true);
                 lost.incrementAndGet();
             }
