Keep a missing build apart from a broken rule in the review scripts

Cause: a script without the build ended with 1, as if the rule were broken. Change: it ends with 2; nodes end with the script, also when it gets a signal.

--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -23,6 +23,7 @@
 
     static final String HOST = "ficu95.example";
     private static final int STORE_PORT = 8142;
+    private static final int METRICS_PORT = 9464;
     private static final int START_TIMEOUT_MILLIS = 30_000;
 
     final Recorder record;
@@ -51,21 +52,25 @@
     }
 
     /** Runs a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
-    static void main(Path caseDirectory, Case reviewCase) throws Exception {
+    static void main(Path caseDirectory, Case reviewCase) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        Path directory = Files.createTempDirectory("review");
         int exit = 2;
         try (Recorder record = new Recorder(caseDirectory.resolve("record.txt"))) {
             record.add("START", "trouble", trouble);
+            Path directory = Files.createTempDirectory("review");
             try (Fleet fleet = new Fleet(Path.of("").toAbsolutePath(), directory, record)) {
+                // Ends the nodes also when this process is ended by a signal.
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> fleet.nodes.forEach(Node::kill)));
                 int broken = reviewCase.run(fleet, trouble);
                 exit = broken > 0 ? 1 : 0;
                 record.add("RESULT", "broken", broken, "exit", exit);
-                System.out.println((broken > 0 ? "rule broken: " : "rule held: ") + broken + " cases counted");
+                System.out.println((broken > 0 ? "rule broken: " : "rule held: ") + broken + " counted");
             } catch (Exception e) {
                 record.add("COULD NOT RUN", "reason", e);
                 e.printStackTrace();
             }
+        } catch (IOException e) {
+            e.printStackTrace();
         }
         System.exit(exit);
     }
@@ -75,8 +80,9 @@
         Random random = new Random();
         for (int i = 0; i < 20; i++) {
             String candidate = "127." + (20 + random.nextInt(200)) + "." + random.nextInt(250);
-            try (ServerSocket a = new ServerSocket(STORE_PORT, 1, InetAddress.getByName(candidate + ".250"));
-                    ServerSocket b = new ServerSocket(9464, 1, InetAddress.getByName(candidate + ".1"))) {
+            try {
+                new ServerSocket(STORE_PORT, 1, InetAddress.getByName(candidate + ".250")).close();
+                new ServerSocket(METRICS_PORT, 1, InetAddress.getByName(candidate + ".1")).close();
                 return candidate;
             } catch (IOException e) {
                 // In use: try another one.
@@ -145,8 +151,9 @@
         store.put(
                 "servers/" + server.id,
                 "{\"service\":\"" + server.service + "\",\"address\":\"" + host + ":" + Node.APP_PORT
-                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"ready\",\"cold-remaining\":\""
-                        + coldMillis + "ms\",\"sequence\":1,\"born\":"
+                        + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots
+                        + ",\"state\":\"ready\",\"cold-remaining\":\"" + coldMillis
+                        + "ms\",\"sequence\":1,\"born\":"
                         + System.currentTimeMillis() + "}");
     }
 
@@ -203,7 +210,7 @@
     }
 
     @Override
-    public void close() throws Exception {
+    public void close() throws IOException {
         for (Node node : nodes) {
             node.close();
         }
--- a/review/standins/review/Node.java
+++ b/review/standins/review/Node.java
@@ -102,10 +102,6 @@
         return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
-    int exitValue() {
-        return process.exitValue();
-    }
-
     void signal(String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start().waitFor();
     }
@@ -114,10 +110,14 @@
         return Client.get(host, READY_PORT, "/-/ready") == 200;
     }
 
-    @Override
-    public void close() throws Exception {
+    void kill() {
         if (process != null) {
-            process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+            process.destroyForcibly();
         }
     }
+
+    @Override
+    public void close() {
+        kill();
+    }
 }
