Stop retrying and then running requests that crash targets

What callers saw: an idempotent request that crashes each target that begins to run it took down two targets each time it came.

Cause: OutboundCall.retryOrFail retries a lost idempotent call within the attempts of its route and the retry budget, and nothing in the relay remembers which requests were in flight when a target went down. The next coming is a new call with attempts of its own.

Ruled out: the retry budget (16 retries in 40 s are far below it) and hedging (no line "call hedged").

Change: the nodes beside the targets of a service hold the suspects and tell each other of crashes (SuspectReport). A lost call is suspected when the target is then found down or replaced; of the calls lost together, those with the most earlier crashes. A suspect that is lost again is not retried; after three crashes at different times it is refused at all nodes for ten minutes, as not run. A response clears it at all nodes. A starting node asks another one, so that a rolling restart forgets nothing. A connection lost during a health check or the pause after it now leads to another check, without which the crash could be missed. New log lines, counter jaywick.target.crashes, gauge jaywick.target.suspects.

Why it works: every attempt at a service passes a node beside one of its targets, so the refusal does not depend on where the request comes from.

--- a/jaywick-core/src/main/java/io/jaywick/core/admission/Fingerprint.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/Fingerprint.java
@@ -18,4 +18,16 @@
                 stream.putString(route).putString(party).putString(keyOrCallId).get();
         return hash.toString();
     }
+
+    /** Returns the hash of a request without an idempotency key, as 32 hexadecimal digits; headers do not enter it. */
+    public static String ofRequest(String method, String uri, String callerService, byte[] body) {
+        return Hashing.murmur3_128()
+                .hashStream()
+                .putString(method)
+                .putString(uri)
+                .putString(callerService)
+                .putByteArray(body)
+                .get()
+                .toString();
+    }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
@@ -1,6 +1,7 @@
 package io.jaywick.core.admission;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -13,25 +14,25 @@
 import io.jaywick.core.snapshot.HomeRegions;
 
 /**
- * Fingerprints of requests that were in flight when a target crashed, that is, when the connection to it was lost. A
- * fingerprint seen at two crashes is blocked; one crash blocks nothing, because most requests in flight at a crash did
- * not cause it. Thread-safe; holds at most {@link #MAX_ENTRIES} entries.
+ * Fingerprints of requests that were in flight when a target crashed. A fingerprint seen at as many crashes as the
+ * {@link SuspectPolicy} states is blocked; one crash blocks nothing, because most requests in flight at a crash did not
+ * cause it. Thread-safe; holds at most {@link #MAX_ENTRIES} entries.
  */
 public final class SuspectList {
 
-    public static final int CRASHES_TO_BLOCK = 2;
     public static final int MAX_ENTRIES = 4_096;
     public static final long EXPIRY_MILLIS = 600_000;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    private record Entry(Set<String> crashIds, Set<String> homeRegions, long expiresNanos) {
+    private record Entry(Set<String> crashIds, Set<String> homeRegions, long lastCrashNanos, long expiresNanos) {
         int crashes() {
             return crashIds.size();
         }
     }
 
     private final String region;
+    private final SuspectPolicy policy;
     private final LongSupplier nanoTime;
     private final Map<String, Entry> entries = new HashMap<>();
 
@@ -39,8 +40,9 @@
      * Creates an empty list for a node in the given region. Received entries that are bound to other regions are not
      * kept.
      */
-    public SuspectList(String region, LongSupplier nanoTime) {
+    public SuspectList(String region, SuspectPolicy policy, LongSupplier nanoTime) {
         this.region = region;
+        this.policy = policy;
         this.nanoTime = nanoTime;
     }
 
@@ -61,11 +63,13 @@
     }
 
     public synchronized boolean isBlocked(String fingerprint) {
-        if (entries.isEmpty()) {
-            return false;
-        }
-        Entry entry = unexpiredEntry(fingerprint);
-        return entry != null && entry.crashes() >= CRASHES_TO_BLOCK;
+        return blockedMillis(fingerprint) > 0;
+    }
+
+    /** Returns the milliseconds for which a request remains blocked, 0 for one that is not blocked. */
+    public synchronized long blockedMillis(String fingerprint) {
+        Entry entry = entries.isEmpty() ? null : unexpiredEntry(fingerprint);
+        return entry == null || entry.crashes() < policy.crashesToBlock() ? 0 : remainingMillis(entry);
     }
 
     /** Returns the identifiers of the crashes recorded for a request, empty for most requests. */
@@ -89,40 +93,68 @@
     /** Returns the entries that may be sent to a peer in the given region, those with the most crashes first. */
     public synchronized List<SuspectEntry> entriesFor(String peerRegion, int max) {
         List<SuspectEntry> result = new ArrayList<>();
-        long nowNanos = nanoTime.getAsLong();
-        for (int crashes = CRASHES_TO_BLOCK; crashes > 0; crashes--) {
+        for (int crashes = policy.crashesToBlock(); crashes > 0; crashes--) {
             for (Map.Entry<String, Entry> item : entries.entrySet()) {
                 Entry entry = item.getValue();
-                long remainingMillis = (entry.expiresNanos() - nowNanos) / NANOS_PER_MILLI;
                 if (result.size() < max
                         && entry.crashes() == crashes
-                        && remainingMillis > 0
+                        && remainingMillis(entry) > 0
                         && HomeRegions.allows(entry.homeRegions(), peerRegion)) {
-                    result.add(new SuspectEntry(
-                            item.getKey(),
-                            List.copyOf(entry.crashIds()),
-                            List.copyOf(entry.homeRegions()),
-                            remainingMillis));
+                    result.add(toMessage(item.getKey(), entry));
                 }
             }
         }
         return result;
     }
 
+    /** Returns the entries of the given requests that may be sent to a peer in the given region. */
+    public synchronized List<SuspectEntry> entriesOf(Collection<String> fingerprints, String peerRegion) {
+        List<SuspectEntry> result = new ArrayList<>();
+        for (String fingerprint : fingerprints) {
+            Entry entry = unexpiredEntry(fingerprint);
+            if (entry != null && HomeRegions.allows(entry.homeRegions(), peerRegion)) {
+                result.add(toMessage(fingerprint, entry));
+            }
+        }
+        return result;
+    }
+
+    private SuspectEntry toMessage(String fingerprint, Entry entry) {
+        return new SuspectEntry(
+                fingerprint, List.copyOf(entry.crashIds()), List.copyOf(entry.homeRegions()), remainingMillis(entry));
+    }
+
+    /** Rounded up, so that an entry that has not expired has at least one millisecond left. */
+    private long remainingMillis(Entry entry) {
+        return (entry.expiresNanos() - nanoTime.getAsLong() + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+    }
+
+    public synchronized boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
     public synchronized int size() {
         return entries.size();
     }
 
     private void add(String fingerprint, Set<String> crashIds, Set<String> homeRegions, long expiresInMillis) {
         Entry known = unexpiredEntry(fingerprint);
+        long nowNanos = nanoTime.getAsLong();
         Set<String> all = new LinkedHashSet<>(known == null ? Set.of() : known.crashIds());
+        if (known != null && nowNanos - known.lastCrashNanos() < policy.minSpacingMillis() * NANOS_PER_MILLI) {
+            if (crashIds.size() <= all.size()) {
+                return;
+            }
+            // The peer knows earlier crashes, and its count excludes simultaneous ones.
+            all.clear();
+        }
         boolean changed = false;
         for (String crashId : crashIds) {
-            changed |= all.size() < CRASHES_TO_BLOCK && all.add(crashId);
+            changed |= all.size() < policy.crashesToBlock() && all.add(crashId);
         }
         if (changed) {
             long expiresIn = Math.min(EXPIRY_MILLIS, expiresInMillis);
-            put(fingerprint, new Entry(all, homeRegions, nanoTime.getAsLong() + expiresIn * NANOS_PER_MILLI));
+            put(fingerprint, new Entry(all, homeRegions, nowNanos, nowNanos + expiresIn * NANOS_PER_MILLI));
         }
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
@@ -19,6 +19,8 @@
     TARGET_DOWN,
     /** The instance that the caller chose is not known as the target of this node. */
     UNKNOWN_INSTANCE,
+    /** The request was in flight at several crashes of targets and would probably crash this one. */
+    SUSPECT,
     /** The deadline has passed, or the queued call can no longer meet it. */
     DEADLINE,
     /** The caller disconnected. */
--- a/jaywick-core/src/test/java/io/jaywick/core/admission/SuspectListTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/admission/SuspectListTestCase.java
@@ -23,7 +23,7 @@
     private long now;
 
     private SuspectList list(String region) {
-        return new SuspectList(region, () -> now);
+        return new SuspectList(region, SuspectPolicy.SERIALIZED, () -> now);
     }
 
     /**
@@ -42,6 +42,25 @@
         assertThat(first.isBlocked("f"), is(true));
     }
 
+    /**
+     * Guards against sound requests that are blocked because several targets crash together for a common cause while
+     * they run them.
+     */
+    @Test
+    void crashesAtTheSameTimeCountOnce() {
+        SuspectList list = new SuspectList("a", SuspectPolicy.CONCURRENT, () -> now);
+        for (int i = 0; i < 5; i++) {
+            list.recordCrash("f", "s" + i, Set.of());
+        }
+        assertThat(list.crashIds("f"), hasSize(1));
+        now += SuspectPolicy.CONCURRENT.minSpacingMillis() * 1_000_000;
+        list.recordCrash("f", "s5", Set.of());
+        assertThat(list.crashIds("f"), hasSize(2));
+        list.merge(new SuspectEntry("f", List.of("t1", "t2", "t3"), List.of(), 1_000));
+        assertThat("the peer counted crashes at other times", list.isBlocked("f"), is(true));
+        assertThat(list.blockedMillis("f"), is(1_000L));
+    }
+
     /** Guards against a request that is blocked after one crash, or that stays blocked permanently. */
     @Test
     void oneCrashBlocksNothingAndEntriesExpire() {
--- a/jaywick-node/src/main/java/io/jaywick/node/proxy/ProxyServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/proxy/ProxyServer.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.admission.SuspectList;
+import io.jaywick.core.admission.SuspectPolicy;
 import io.jaywick.core.message.SuspectEntry;
 import reactor.core.Disposable;
 import reactor.core.scheduler.Schedulers;
@@ -29,7 +30,7 @@
     /** Listens on addresses HOST:PORT; port 0 selects any free port. */
     public ProxyServer(ProxyContext context, String egressAddress, String ingressAddress, String targetAddress) {
         this.context = context;
-        this.suspects = new SuspectList(context.location().region(), context.nanoTime());
+        this.suspects = new SuspectList(context.location().region(), SuspectPolicy.SERIALIZED, context.nanoTime());
         ActiveCalls activeCalls = new ActiveCalls();
         this.ingress = new IngressServer(context, suspects, activeCalls, ingressAddress, targetAddress);
         this.egress = new EgressServer(context, suspects, activeCalls, egressAddress);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -25,6 +25,9 @@
     /** Reason of a call that reached a different instance than the chosen one and was not executed there. */
     static final String ANOTHER_INSTANCE = "another-instance";
 
+    /** Reason of a lost call whose request was already in flight at a crash of a target; it must not be retried. */
+    static final String SUSPECT_LOST = "suspect-lost";
+
     private static final byte[] EMPTY = new byte[0];
 
     /** How an attempt ended. */
@@ -69,6 +72,11 @@
         return new CallResult(outcome, reason, status, headers, body, expectedMillisNow, waitMillisNow);
     }
 
+    /** Whether the connection to the target broke before the response. */
+    boolean isConnectionLost() {
+        return outcome == Outcome.LOST && (reason.startsWith("connection-") || reason.equals("write-failed"));
+    }
+
     /** Whether it is certain that the target did not and will not execute the call. */
     boolean isProvenNotExecuted() {
         return outcome == Outcome.SHED || outcome == Outcome.REFUSED;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/HopHeaders.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/HopHeaders.java
@@ -50,6 +50,16 @@
         return copy;
     }
 
+    /** Returns the value of the first header with a name, which is not case-sensitive, or null. */
+    static String find(List<String> namesAndValues, String name) {
+        for (int i = 0; i + 1 < namesAndValues.size(); i += 2) {
+            if (namesAndValues.get(i).equalsIgnoreCase(name)) {
+                return namesAndValues.get(i + 1);
+            }
+        }
+        return null;
+    }
+
     static void addTo(HttpHeaders headers, List<String> namesAndValues) {
         for (int i = 0; i + 1 < namesAndValues.size(); i += 2) {
             headers.add(namesAndValues.get(i), namesAndValues.get(i + 1));
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -28,17 +28,19 @@
     private final TargetGate gate;
     private final TargetPool pool;
     private final TargetHealth health;
+    private final CrashSuspects suspects;
     private final RunningRequestPriorities priorities = new RunningRequestPriorities();
     private Instance current;
     private boolean queueCheckScheduled;
     private boolean evacuated;
     private boolean draining;
 
-    LocalTarget(RelayContext context, TargetPool pool) {
+    LocalTarget(RelayContext context, TargetPool pool, CrashSuspects suspects) {
         this.context = context;
         this.gate = new TargetGate(context.runtime().nanoTime());
         this.pool = pool;
-        this.health = new TargetHealth(context, pool, millis -> startColdPeriod(millis, "health"));
+        this.suspects = suspects;
+        this.health = new TargetHealth(context, pool, new HealthListener());
     }
 
     /**
@@ -195,6 +197,24 @@
         context.log().info("local target cold", "cause", cause, "forMillis", millis, "callsPerSecond", callsPerSecond);
     }
 
+    private final class HealthListener implements TargetHealth.Listener {
+
+        @Override
+        public void responded(long sentNanos) {
+            suspects.targetResponded(sentNanos);
+        }
+
+        @Override
+        public void cold(long millis) {
+            startColdPeriod(millis, "health");
+        }
+
+        @Override
+        public void crashed() {
+            suspects.targetCrashed();
+        }
+    }
+
     @Override
     public PendingCall send(ForwardCall call, Consumer<CallResult> onResult) {
         GateRefusal refusal = findRefusal(call);
@@ -205,14 +225,21 @@
         }
         if (refusal != null) {
             logRefusal(call, refusal);
-            onResult.accept(
-                    isDeparted(refusal)
-                            ? CallResult.refused(refusal)
-                            : withLoadEstimate(CallResult.refused(refusal), call));
+            onResult.accept(toResult(refusal, call));
         }
         return localCall::cancel;
     }
 
+    /** Returns the result of a refused call. The load of the target matters only to calls that it may still get. */
+    private CallResult toResult(GateRefusal refusal, ForwardCall call) {
+        CallResult result = CallResult.refused(refusal);
+        return switch (refusal) {
+            case LEAVING, UNKNOWN_INSTANCE -> result;
+            case SUSPECT -> result.withLoadEstimate(-1, suspects.blockedMillis(call));
+            default -> withLoadEstimate(result, call);
+        };
+    }
+
     private void logRefusal(ForwardCall call, GateRefusal reason) {
         context.log()
                 .refusalEvent(
@@ -252,6 +279,9 @@
                 || !chosen.service().equals(call.service())) {
             return GateRefusal.UNKNOWN_INSTANCE;
         }
+        if (suspects.blockedMillis(call) > 0) {
+            return GateRefusal.SUSPECT;
+        }
         if (health.isDown()) {
             return GateRefusal.TARGET_DOWN;
         }
@@ -261,10 +291,6 @@
         return null;
     }
 
-    private static boolean isDeparted(GateRefusal refusal) {
-        return refusal == GateRefusal.LEAVING || refusal == GateRefusal.UNKNOWN_INSTANCE;
-    }
-
     /** Adds the load of the target and the wait of another call like this one that arrives now. */
     private CallResult withLoadEstimate(CallResult result, ForwardCall call) {
         return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)));
@@ -314,11 +340,12 @@
         private void targetCallEnded(CallResult result) {
             priorities.unregister(call.requestId());
             health.observe(result);
+            CallResult reported = suspects.callEnded(call, result);
             if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
                 viewChanged();
             }
             gate.release(this, result.outcome() == CallResult.Outcome.ANSWERED);
-            reportResult(withLoadEstimate(result, call));
+            reportResult(withLoadEstimate(reported, call));
         }
 
         private void reportResult(CallResult result) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -266,6 +266,16 @@
                 plan.exclude(instance.id());
                 calls.instanceSelector().recordFailure(instance.id());
             }
+            case "suspect" -> {
+                // The other instances of the service refuse the request as well, or would crash.
+                if (attempt.purpose() == AttemptPurpose.HEDGE) {
+                    calls.retryBudget().refund(routed.service());
+                }
+                if (openAttempts.isEmpty()) {
+                    respond(responses.failure(result.reason()));
+                }
+                return;
+            }
             default -> calls.instanceSelector()
                     .recordSaturated(instance, routed.route().name());
         }
@@ -299,6 +309,7 @@
         }
         boolean allowed = (result.isProvenNotExecuted() && responses.isNotExecuted()
                         || routed.route().idempotent())
+                && !result.reason().equals(CallResult.SUSPECT_LOST)
                 && canRetry()
                 && calls.retryBudget().tryWithdraw(routed.service(), calls.nodeCount());
         if (allowed) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -12,6 +12,7 @@
 import io.jaywick.core.message.PeerEntry;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SuspectReport;
 import io.jaywick.core.placement.InstanceSelector;
 import io.jaywick.core.rules.RuleSet;
 import io.jaywick.node.frame.FrameCodec;
@@ -21,6 +22,7 @@
 import io.jaywick.node.peer.PeerTraffic;
 import io.jaywick.node.peer.TcpPeerLink;
 import io.jaywick.node.settings.SocketAddressParser;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
 import reactor.core.publisher.Mono;
@@ -89,6 +91,7 @@
     private final RelaySettings settings;
     private final RelayLog log;
     private final EventLoop loop;
+    private final CrashSuspects suspects;
     private final LocalTarget localTarget;
     private final TargetPool pool;
     private final OutboundCalls outboundCalls;
@@ -130,7 +133,9 @@
                 MAX_BACKOFF_MILLIS);
         this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, runtime.random());
         this.pool = new TargetPool(context);
-        this.localTarget = new LocalTarget(context, pool);
+        this.suspects = new CrashSuspects(context, link);
+        handlers.register(SuspectReport.class, message -> suspects.handle((SuspectReport) message));
+        this.localTarget = new LocalTarget(context, pool, suspects);
         this.peerCalls = new PeerCalls(link, localTarget, log);
         peerCalls.register(handlers);
         handlers.register(
@@ -170,6 +175,8 @@
         registry.gauge("jaywick.target.running", localTarget, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", localTarget, LocalTarget::waiting);
         registry.gauge("jaywick.target.cold", localTarget, target -> target.isCold() ? 1 : 0);
+        registry.gauge("jaywick.target.suspects", suspects, CrashSuspects::size);
+        registry.more().counter("jaywick.target.crashes", Tags.empty(), suspects, CrashSuspects::crashCount);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
 
@@ -204,6 +211,7 @@
         loop.execute(() -> {
             view = newer;
             localTarget.viewChanged();
+            suspects.viewChanged();
             outboundCalls.viewChanged();
             boolean usable = newer.rules().isLoaded() && !newer.instances().isEmpty();
             if (usable && !isReady) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
 
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.rules.ServiceRule;
@@ -27,20 +26,30 @@
 
     private final RelayContext context;
     private final TargetPool pool;
-    private final LongConsumer onColdMillis;
+    private final Listener listener;
     private boolean checkScheduled;
+    private boolean checkAgain;
+    private long checkSentNanos;
     private boolean down;
     private long downSinceNanos;
 
-    /**
-     * Creates the health check of the target of a pool.
-     *
-     * @param onColdMillis receives the time for which the target remains cold
-     */
-    TargetHealth(RelayContext context, TargetPool pool, LongConsumer onColdMillis) {
+    /** Receives what the checks find. */
+    interface Listener {
+
+        /** The target responded to a check that was sent at the given monotonic time. */
+        void responded(long sentNanos);
+
+        /** The target states the time for which it remains cold. */
+        void cold(long millis);
+
+        /** The target is unreachable, or another instance has taken its place. */
+        void crashed();
+    }
+
+    TargetHealth(RelayContext context, TargetPool pool, Listener listener) {
         this.context = context;
         this.pool = pool;
-        this.onColdMillis = onColdMillis;
+        this.listener = listener;
     }
 
     private ServiceRule serviceRule() {
@@ -54,19 +63,19 @@
 
     /** Schedules a check if a call ended because its connection was lost or could not be opened. */
     void observe(CallResult result) {
-        boolean lost =
-                result.outcome() == CallResult.Outcome.LOST && result.reason().startsWith("connection-");
         if (result.reason().equals("target-down")) {
             markDown();
         }
-        if (lost || result.reason().equals("target-down")) {
+        if (result.isConnectionLost() || result.reason().equals("target-down")) {
             scheduleCheck();
         }
     }
 
-    /** Schedules a check unless one is scheduled, running or just completed. */
+    /** Schedules a check, or another one after the pause if one is scheduled, running or just completed. */
     void scheduleCheck() {
-        if (!checkScheduled && serviceRule() != null) {
+        if (checkScheduled) {
+            checkAgain = true;
+        } else if (serviceRule() != null) {
             checkScheduled = true;
             context.runtime()
                     .loop()
@@ -80,6 +89,8 @@
             checkScheduled = false;
             return;
         }
+        checkAgain = false;
+        checkSentNanos = context.nanoTime();
         ForwardCall check = new ForwardCall(
                 "health",
                 "",
@@ -101,14 +112,10 @@
     }
 
     private void checkEnded(CallResult result) {
-        context.runtime()
-                .loop()
-                .schedule(() -> checkScheduled = false, MIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        context.runtime().loop().schedule(this::endPause, MIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         if (result.reason().equals("target-down")) {
             markDown();
-            context.runtime()
-                    .loop()
-                    .schedule(this::scheduleCheck, MIN_CHECK_INTERVAL_MILLIS + 1, TimeUnit.MILLISECONDS);
+            checkAgain = true;
             return;
         }
         if (result.outcome() != CallResult.Outcome.ANSWERED) {
@@ -116,22 +123,35 @@
             return;
         }
         markUp();
-        pool.recordInstance(header(result, pool.names().instanceId()));
-        String cold = header(result, pool.names().coldMillis());
+        String instance = HopHeaders.find(result.headers(), pool.names().instanceId());
+        if (instance != null && pool.observedInstance() != null && !instance.equals(pool.observedInstance())) {
+            listener.crashed();
+        }
+        listener.responded(checkSentNanos);
+        pool.recordInstance(instance);
+        String cold = HopHeaders.find(result.headers(), pool.names().coldMillis());
         if (cold != null) {
             try {
-                onColdMillis.accept(Long.parseLong(cold.trim()));
+                listener.cold(Long.parseLong(cold.trim()));
             } catch (NumberFormatException e) {
                 context.log().warning("invalid cold time in a health response", "value", cold);
             }
         }
     }
 
+    private void endPause() {
+        checkScheduled = false;
+        if (checkAgain) {
+            scheduleCheck();
+        }
+    }
+
     private void markDown() {
         if (!down) {
             down = true;
             downSinceNanos = context.nanoTime();
             context.log().info("local target unreachable");
+            listener.crashed();
         }
     }
 
@@ -142,14 +162,4 @@
             context.log().info("local target reachable again", "downMillis", millis);
         }
     }
-
-    private static String header(CallResult result, String name) {
-        List<String> headers = result.headers();
-        for (int i = 0; i + 1 < headers.size(); i += 2) {
-            if (headers.get(i).equalsIgnoreCase(name)) {
-                return headers.get(i + 1);
-            }
-        }
-        return null;
-    }
 }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/FakeTarget.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/FakeTarget.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -36,14 +38,37 @@
         }
     }
 
-    private final ServerSocket server;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private volatile ServerSocket server;
     private final List<ReceivedRequest> received = new CopyOnWriteArrayList<>();
     private final AtomicInteger connections = new AtomicInteger();
     private volatile ResponseScript script = (request, out) -> write(out, response(request, 200, "ok"));
 
     FakeTarget(String host) throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getByName(host));
-        start(this::accept);
+        listen(InetAddress.getByName(host), 0);
+    }
+
+    private void listen(InetAddress host, int port) throws IOException {
+        ServerSocket listener = new ServerSocket(port, 50, host);
+        server = listener;
+        start(() -> accept(listener));
+    }
+
+    /** Closes the listener and every connection, as the end of a process does. */
+    void crash() throws IOException {
+        server.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    boolean isCrashed() {
+        return server.isClosed();
+    }
+
+    /** Accepts connections again at the same address. */
+    void restart() throws IOException {
+        listen(server.getInetAddress(), server.getLocalPort());
     }
 
     static boolean write(OutputStream out, String text) throws IOException {
@@ -82,11 +107,12 @@
         thread.start();
     }
 
-    private void accept() {
+    private void accept(ServerSocket listener) {
         try {
             while (true) {
-                Socket socket = server.accept();
+                Socket socket = listener.accept();
                 connections.incrementAndGet();
+                open.add(socket);
                 start(() -> serve(socket));
             }
         } catch (IOException e) {
@@ -109,6 +135,8 @@
             }
         } catch (IOException | InterruptedException e) {
             // The node has closed the connection.
+        } finally {
+            open.remove(socket);
         }
     }
 
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -21,6 +21,7 @@
 import io.jaywick.core.rules.RuleSet;
 import io.jaywick.core.rules.ServiceRule;
 import io.jaywick.core.rules.ServiceWeight;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 
@@ -43,6 +44,7 @@
     final Relay caller;
     final Relay targetNode;
     final Relay secondNode;
+    private final List<MeterRegistry> targetMeters = new ArrayList<>();
     private RuleSet published;
     private final AtomicLong clockOffsetNanos = new AtomicLong();
     private final NodeRuntime runtime = runtime();
@@ -55,8 +57,19 @@
             peerPort = socket.getLocalPort();
         }
         caller = relay("caller", CALLER_HOST, peerPort, CALLER_HOST + ":1", metrics());
-        targetNode = relay("other", TARGET_HOST, peerPort, target.address(), metrics());
-        secondNode = relay("other", SECOND_HOST, peerPort, secondTarget.address(), metrics());
+        PrometheusMeterRegistry meters = metrics();
+        PrometheusMeterRegistry secondMeters = metrics();
+        targetNode = relay("other", TARGET_HOST, peerPort, target.address(), meters);
+        secondNode = relay("other", SECOND_HOST, peerPort, secondTarget.address(), secondMeters);
+        targetMeters.addAll(List.of(meters, secondMeters));
+    }
+
+    /** Number of crashes of the targets that their nodes have detected. */
+    long detectedCrashes() {
+        return targetMeters.stream()
+                .mapToLong(meters -> (long)
+                        meters.get("jaywick.target.crashes").functionCounter().count())
+                .sum();
     }
 
     private static PrometheusMeterRegistry metrics() {
