Remove targets that leave together at once

What callers saw: three of twelve targets left at the same moment without a report.

Cause: FleetState.remove kept entries that were removed in one step for two seconds if they were three or more and a fifth of all, as if the store had lost them. That alone is the whole bound; the collecting of changes, the upstream nodes and 100 ms between checks for expiry came on top.

Ruled out: the time until the nodes know of the removal.

Change: entries are retained only in the grace period after an outage that the node has noticed, or that the peer from which it takes its state has noticed. They are removed when it ends, not at the next of checks 100 ms apart. The log line of removed entries says how many are retained.

Why it works: the watching node notices an outage within a second, and entries of live targets lapse only after several seconds of silence; a removal without an outage is therefore a planned one.

Test replaced: FleetStateTestCase.retainsBulkRemovalForGracePeriod required the retention of a bulk removal while the store was reachable, which is the fault. In its place stand appliesRemovalOfManyAtOnce (no retention without an outage) and retainsBulkRemovalAfterOutageForGracePeriod (the same assertions as before, after an outage), and entriesLostInAnOutageAreRetainedUntilTheirTargets- RegisterAgain with 12 nodes.

--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -1,5 +1,6 @@
 package io.jaywick.core.fleet;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -10,20 +11,14 @@
 
 /**
  * Builds views of the fleet from the updates of the platform. The version of the rules never regresses. Entries that
- * are removed in bulk, or shortly after the platform was unreachable, are retained for a grace period, because live
- * instances register again shortly after the platform recovers. Not thread-safe.
+ * are removed shortly after the platform was unreachable are retained for a grace period, because live instances
+ * register again shortly after the platform recovers. Not thread-safe.
  */
 public final class FleetState {
 
     /** The platform guarantees that live instances are listed again about two seconds after it recovers. */
     public static final long REMOVAL_GRACE_MILLIS = 2_000;
 
-    /** At least this fraction of the entries is removed in one step only when the platform has lost them. */
-    private static final double BULK_FRACTION = 0.2;
-
-    /** Planned removals in a small fleet remove fewer entries than this in one step. */
-    private static final int BULK_MIN_ENTRIES = 3;
-
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier nanoTime;
@@ -60,27 +55,29 @@
     }
 
     /**
-     * Removes instances that the platform stopped listing in one step. Within the grace period they are retained until
-     * it ends; a bulk removal outside of it is retained for {@link #REMOVAL_GRACE_MILLIS}. Draining instances are
-     * removed at once.
+     * Removes instances that the platform stopped listing. Within the grace period they are retained until it ends,
+     * unless they were draining. Outside of it any number of them is removed at once: instances that leave together
+     * stop serving soon after.
+     *
+     * @return the number of retained entries
      */
-    public void remove(Set<String> ids) {
-        boolean bulk = ids.size() >= BULK_MIN_ENTRIES && ids.size() >= BULK_FRACTION * instances.size();
-        long now = nanoTime.getAsLong();
-        boolean inGracePeriod = hasGracePeriod && now - graceUntilNanos < 0;
+    public int remove(Set<String> ids) {
+        boolean inGracePeriod = hasGracePeriod && nanoTime.getAsLong() - graceUntilNanos < 0;
+        int retained = 0;
         for (String id : ids) {
             Instance listed = instances.get(id);
             if (listed == null) {
                 continue;
             }
-            if (!listed.draining() && (bulk || inGracePeriod)) {
-                long until = inGracePeriod ? graceUntilNanos : now + REMOVAL_GRACE_MILLIS * NANOS_PER_MILLI;
-                retainedUntilNanos.putIfAbsent(id, until);
+            if (inGracePeriod && !listed.draining()) {
+                retainedUntilNanos.putIfAbsent(id, graceUntilNanos);
+                retained++;
             } else {
                 instances.remove(id);
                 retainedUntilNanos.remove(id);
             }
         }
+        return retained;
     }
 
     /** Starts the grace period after the platform has become reachable again. */
@@ -117,9 +114,13 @@
         return !expired.isEmpty();
     }
 
-    /** Returns whether any removed entries are retained. */
-    public boolean hasRetainedEntries() {
-        return !retainedUntilNanos.isEmpty();
+    /** Returns the milliseconds until {@link #removeExpired} has something to remove; -1 if nothing is retained. */
+    public long millisUntilExpiry() {
+        if (retainedUntilNanos.isEmpty()) {
+            return -1;
+        }
+        long nanos = Collections.min(retainedUntilNanos.values()) - nanoTime.getAsLong();
+        return Math.max(0, (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
     }
 
     public void evacuate(String dataCentre) {
