Keep home-bound routes usable beside an instance in an unknown data centre

What callers saw: an instance whose data centre the settings do not name made every call of a route with home regions to its service fail with a closed connection, as an exception left the call.

Cause: InstanceSelector.isEligible asked an immutable set of home regions for null. Found by reading in the review; the entry may come from another writer or precede the reload of the settings.

Change: an unknown data centre has no region, so that it lies outside every home region and counts as another region.

InstanceSelectorTestCase.instanceInUnknownDataCentreIsOutsideEveryHomeRegion failed with a NullPointerException before.

--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -79,6 +79,7 @@
         }
     }
 
+    /** Returns the region of an instance, empty if the settings do not name its data centre. */
     private String region(Instance instance) {
         return regionByDataCentre.getOrDefault(instance.dataCentre(), "");
     }
@@ -132,7 +133,7 @@
     public boolean isEligible(FleetView view, Instance instance, Set<String> homeRegions) {
         return !instance.draining()
                 && !view.isEvacuated(instance.dataCentre())
-                && (homeRegions.isEmpty() || homeRegions.contains(regionByDataCentre.get(instance.dataCentre())));
+                && (homeRegions.isEmpty() || homeRegions.contains(region(instance)));
     }
 
     public Distance distance(Instance instance) {
@@ -142,9 +143,7 @@
         if (instance.dataCentre().equals(dataCentre)) {
             return Distance.SAME_DATA_CENTRE;
         }
-        return region.equals(regionByDataCentre.get(instance.dataCentre()))
-                ? Distance.SAME_REGION
-                : Distance.OTHER_REGION;
+        return region.equals(region(instance)) ? Distance.SAME_REGION : Distance.OTHER_REGION;
     }
 
     /**
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
@@ -65,6 +65,18 @@
         assertThat(rankedIds(fullView, Set.of("c")), empty());
     }
 
+    /**
+     * Guards against an instance in a data centre that the settings do not name: the calls of each route with home
+     * regions failed with an exception.
+     */
+    @Test
+    void instanceInUnknownDataCentreIsOutsideEveryHomeRegion() {
+        FleetView view =
+                view(Set.of(), instance("unknown", "10.0.0.5", "new", false), instance("far", "10.0.0.4", "b1", false));
+        assertThat(rankedIds(view, Set.of("b")), contains("far"));
+        assertThat(rankedIds(view, Set.of()).size(), is(2));
+    }
+
     /** Guards against new calls to an evacuated data centre or a draining instance. */
     @Test
     void excludesDrainingAndEvacuatedInstances() {
