Test that cut heads and repeated refusals reach no caller

Reports of other operators: a target that closes in the middle of its head (the caller got an empty 200), and one that writes an earlier refusal once more (the caller was told that a running request had not run).

--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -153,6 +153,44 @@
         assertThat(fixture.target.calls(), hasSize(1));
     }
 
+    /** Guards against a response that ends inside its head and reaches the caller as a complete one without a body. */
+    @Test
+    void responseCutInItsHeadIsNotForwarded() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        for (String length : new String[] {"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+            String head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nStamp: s\r\n" + length + "X-Last: 1\r\n\r\n";
+            for (int end = 0; end < head.length(); end++) {
+                String part = head.substring(0, end);
+                fixture.target.script((request, out) -> {
+                    FakeTarget.write(out, part);
+                    return false;
+                });
+                assertThat(part, call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 502 "));
+            }
+        }
+    }
+
+    /**
+     * Guards against an earlier refusal that the target writes once more and that reaches the caller of the next request
+     * as not executed, while the target runs that request.
+     */
+    @Test
+    void repeatedRefusalOfAnotherRequestIsDropped() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        String[] refusal = new String[1];
+        fixture.target.script((request, out) -> {
+            if (refusal[0] == null) {
+                refusal[0] = FakeTarget.response(request, 503, "").replace("Stamp: s", "Not-Executed: 1");
+                return FakeTarget.write(out, refusal[0]);
+            }
+            FakeTarget.write(out, refusal[0]);
+            return FakeTarget.write(out, FakeTarget.response(request, 200, "done"));
+        });
+        assertThat(call("POST", "/unsafe/1", "a", ""), startsWith("HTTP/1.1 503 "));
+        assertThat(call("POST", "/unsafe/1", "b", ""), endsWith("done"));
+        assertThat("the unsafe request ran once", fixture.target.calls(), hasSize(2));
+    }
+
     /** Guards against a response with the id of a different request. */
     @Test
     void responseToAnotherRequestIsDropped() throws IOException {
