Send the rejection of a pipelined request after the responses before it

Cause: ClientConnection.reject writes its response at once. All its callers share this: too long or malformed heads, several Host headers, large bodies.

Change: a rejection waits until the requests before it are answered, and then closes the connection. The rejected request was not read, and nothing behind it is.

RelayTestCase.rejectionOfAPipelinedRequestWaitsForTheResponsesBeforeIt (431, 400 and 413) failed before: the only response was the rejection.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -41,6 +41,7 @@
     private ByteArrayOutputStream incomingBody;
     private ClientRequest activeRequest;
     private PendingCall activeCall;
+    private ClientResponse pendingRejection;
     private boolean closeAfterResponse;
     private boolean inputEnded;
     private ScheduledFuture<?> timer;
@@ -183,7 +184,9 @@
     private void respond(ClientRequest request, ClientResponse response) {
         activeRequest = null;
         activeCall = null;
-        boolean close = closeAfterResponse || listener.isDraining() || inputEnded && pipelined.isEmpty();
+        boolean close = closeAfterResponse
+                || listener.isDraining()
+                || inputEnded && pipelined.isEmpty() && pendingRejection == null;
         writeResponse(request, response, close);
         if (close) {
             inputEnded = true;
@@ -192,6 +195,8 @@
         ClientRequest next = pipelined.poll();
         if (next != null) {
             serve(next);
+        } else if (pendingRejection != null) {
+            writeResponse(null, pendingRejection, true);
         } else if (incomingRequest == null) {
             startIdleTimer();
         }
@@ -222,11 +227,17 @@
         context.writeAndFlush(message).addListener(close ? ChannelFutureListener.CLOSE : written -> {});
     }
 
+    /** Rejects the request being received, after the responses to the requests before it. */
     private void reject(int status, String reason) {
         inputEnded = true;
         incomingRequest = null;
         listener.logRejection(reason);
-        writeResponse(null, ClientResponse.generated(status, reason, 0), true);
+        ClientResponse rejection = ClientResponse.generated(status, reason, 0);
+        if (activeRequest == null) {
+            writeResponse(null, rejection, true);
+        } else {
+            pendingRejection = rejection;
+        }
     }
 
     @Override
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -4,10 +4,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -333,6 +335,36 @@
         assertThat(answers, not(containsString("50")));
     }
 
+    /**
+     * Guards against the rejection of a request that takes the place of the response to the request before it (review
+     * case 2).
+     */
+    @Test
+    void rejectionOfAPipelinedRequestWaitsForTheResponsesBeforeIt() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.response(request, 200, "for " + request.header("Request-Id"))));
+        String first = request("GET", "/safe/1", "one", "").replace("Connection: close\r\n", "");
+        String second = request("GET", "/safe/2", "two", "").replace("Connection: close\r\n", "");
+        for (Map.Entry<String, String> rejected : Map.of(
+                        "GET /safe/" + "x".repeat(9_000) + " HTTP/1.1\r\nHost: h.example\r\n\r\n",
+                        "431",
+                        "GET /safe/3 HTTP/1.1\r\nHost: h.example\r\nHost: h.example\r\n\r\n",
+                        "400",
+                        "POST /unsafe/3 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 10001\r\n\r\n",
+                        "413")
+                .entrySet()) {
+            String responses = fixture.exchange(first + second + rejected.getKey());
+            List<String> statuses = Pattern.compile("HTTP/1.1 (\\d+)")
+                    .matcher(responses)
+                    .results()
+                    .map(match -> match.group(1))
+                    .toList();
+            assertThat(statuses, is(List.of("200", "200", rejected.getValue())));
+            assertThat(responses.indexOf("for one") < responses.indexOf("for two"), is(true));
+        }
+    }
+
     /**
      * Pattern: nodes restart in turn while their targets run. Guards against a drain that aborts a call in flight, that
      * leaves the slots of its target unused from the start, or that accepts calls of other nodes until its end.
