Slow callers that send many requests ahead instead of closing on them

Cause: ClientConnection.completeRequest closed the connection when 16 complete requests waited behind the active one.

Change: the connection is not read while 64 requests, or a megabyte of bodies, wait; TCP flow control slows the caller. The requests of the last read are kept in any case, so that memory is bounded by one read beyond the limit. The limit on bytes is new: 16 waiting bodies could be as large as the operator's limit allows.

RelayTestCase.manyPipelinedRequestsAreAllAnsweredInOrder (2,000 requests of 2 KB) got no answer before.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -29,13 +29,17 @@
 /** One connection of a local caller. Pipelined requests are served one at a time, in order. */
 final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    /** Complete requests that may wait for the response to an earlier one; a further request closes the connection. */
-    private static final int MAX_PIPELINED = 16;
+    /** Requests waiting for the response to an earlier one from which on the connection is not read for a while. */
+    private static final int MAX_PIPELINED = 64;
+
+    /** Bytes of the bodies of waiting requests from which on the connection is not read for a while. */
+    private static final int MAX_PIPELINED_BYTES = 1 << 20;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ClientListener listener;
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
+    private long pipelinedBytes;
     private ChannelHandlerContext context;
     private HttpRequest incomingRequest;
     private ByteArrayOutputStream incomingBody;
@@ -166,13 +170,23 @@
         }
         if (activeRequest == null) {
             serve(request);
-        } else if (pipelined.size() < MAX_PIPELINED) {
-            pipelined.add(request);
         } else {
-            context.close();
+            pipelined.add(request);
+            pipelinedBytes += request.body().length;
+            updateReading();
         }
     }
 
+    /**
+     * Stops reading while many requests wait, so that the caller is slowed down by TCP flow control. The requests of the
+     * last read are kept in any case.
+     */
+    private void updateReading() {
+        context.channel()
+                .config()
+                .setAutoRead(pipelined.size() < MAX_PIPELINED && pipelinedBytes < MAX_PIPELINED_BYTES);
+    }
+
     private void serve(ClientRequest request) {
         activeRequest = request;
         PendingCall started = listener.serve(request, response -> respond(request, response));
@@ -194,6 +208,8 @@
         }
         ClientRequest next = pipelined.poll();
         if (next != null) {
+            pipelinedBytes -= next.body().length;
+            updateReading();
             serve(next);
         } else if (pendingRejection != null) {
             writeResponse(null, pendingRejection, true);
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -1,6 +1,7 @@
 package io.jaywick.node.relay;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -335,6 +336,45 @@
         assertThat(answers, not(containsString("50")));
     }
 
+    /**
+     * Guards against a connection that is closed, with the request in flight, because many requests were sent ahead on
+     * it (review case 4).
+     */
+    @Test
+    void manyPipelinedRequestsAreAllAnsweredInOrder() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        fixture.target.script((request, out) ->
+                FakeTarget.write(out, FakeTarget.response(request, 200, "for " + request.header("Request-Id") + ";")));
+        int count = 2_000;
+        String body = "x".repeat(2_000);
+        try (Socket socket = fixture.connect()) {
+            Thread writer = new Thread(() -> {
+                try {
+                    for (int i = 0; i < count; i++) {
+                        String request = request("POST", "/safe/1", "id-" + i, body);
+                        socket.getOutputStream()
+                                .write((i == count - 1 ? request : request.replace("Connection: close\r\n", ""))
+                                        .getBytes(StandardCharsets.ISO_8859_1));
+                    }
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            writer.start();
+            String responses = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            writer.join();
+            List<String> answered = Pattern.compile("for (id-\\d+);")
+                    .matcher(responses)
+                    .results()
+                    .map(match -> match.group(1))
+                    .toList();
+            assertThat(answered, hasSize(count));
+            for (int i = 0; i < count; i++) {
+                assertThat(answered.get(i), is("id-" + i));
+            }
+        }
+    }
+
     /**
      * Guards against the rejection of a request that takes the place of the response to the request before it (review
      * case 2).
