Let a drain wait for responses that are still being written

Cause: ClientConnection.isBusy ended when the response was handed to the channel, so that closeWhenIdle closed the connection and the drain counted it as idle.

Change: a connection is busy until its responses are written to the socket. It then closes if the drain asked for it meanwhile. Idle and header timeouts count from the response as before.

RelayTestCase.drainingNodeCompletesResponsesBeingWritten failed before: 2.8 of 7.5 MB arrived.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -8,7 +8,6 @@
 import io.jaywick.core.rules.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -46,6 +45,7 @@
     private ClientRequest activeRequest;
     private PendingCall activeCall;
     private ClientResponse pendingRejection;
+    private int unflushedResponses;
     private boolean closeAfterResponse;
     private boolean inputEnded;
     private ScheduledFuture<?> timer;
@@ -61,12 +61,16 @@
         startIdleTimer();
     }
 
-    /** Whether a request is being received or served. */
+    /** Whether a request is being received or served, or a response is not yet written to the socket. */
     boolean isBusy() {
+        return hasRequest() || unflushedResponses > 0;
+    }
+
+    private boolean hasRequest() {
         return activeRequest != null || incomingRequest != null || !pipelined.isEmpty();
     }
 
-    /** Closes the connection now, or after the next response if a request is being received or served. */
+    /** Closes the connection now, or after the response to the request being received or served. */
     void closeWhenIdle() {
         closeAfterResponse = true;
         if (!isBusy()) {
@@ -74,9 +78,16 @@
         }
     }
 
+    private void responseFlushed(boolean close) {
+        unflushedResponses--;
+        if (close || closeAfterResponse && !isBusy()) {
+            context.close();
+        }
+    }
+
     private void startIdleTimer() {
         restartTimer(listener.limits().idleTimeoutMillis(), () -> {
-            if (!isBusy()) {
+            if (!hasRequest()) {
                 context.close();
             }
         });
@@ -94,7 +105,7 @@
      * before the end of the header section restarts it.
      */
     void bytesReceived() {
-        if (!isBusy()) {
+        if (!hasRequest()) {
             restartTimer(listener.limits().headerTimeoutMillis(), () -> {
                 if (incomingRequest == null && activeRequest == null) {
                     reject(ClientResponse.REQUEST_TIMEOUT, "header-timeout");
@@ -240,7 +251,8 @@
         if (close) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        context.writeAndFlush(message).addListener(close ? ChannelFutureListener.CLOSE : written -> {});
+        unflushedResponses++;
+        context.writeAndFlush(message).addListener(written -> responseFlushed(close));
     }
 
     /** Rejects the request being received, after the responses to the requests before it. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -45,6 +46,12 @@
     /** A draining node of the fixture accepts calls to its target for a shorter time. */
     private static final long ACCEPT_MILLIS = 600;
 
+    private static final int LARGE_RESPONSE_BYTES = 7_500_000;
+
+    private static final int SMALL_BUFFER_BYTES = 4_096;
+
+    private static final long LONGER_THAN_GRACE_MILLIS = 3_000;
+
     private static final int MAX_CALLS_UNTIL_DRAIN_CHECK = 10_000;
 
     /** Calls refused within the pauses between several health checks. */
@@ -446,6 +453,28 @@
         return "no call was refused";
     }
 
+    /** Guards against a drain that cuts a response while it is still being written to a caller that reads slowly. */
+    @Test
+    void drainingNodeCompletesResponsesBeingWritten() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        // More than the buffers of a loopback connection hold.
+        String body = "x".repeat(LARGE_RESPONSE_BYTES);
+        fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.response(request, 200, body)));
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+            socket.connect(fixture.targetNode.outboundAddress());
+            String request = request("GET", "/safe/1", "a", "").replace("Connection: close\r\n", "");
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            int first = socket.getInputStream().read();
+            CompletableFuture<Void> drained = fixture.targetNode.drain();
+            fixture.advance(LONGER_THAN_GRACE_MILLIS);
+            drained.get(20, TimeUnit.SECONDS);
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertThat((char) first + rest, startsWith("HTTP/1.1 200 "));
+            assertThat(rest.length() - rest.indexOf("\r\n\r\n") - 4, is(LARGE_RESPONSE_BYTES));
+        }
+    }
+
     /** Guards against calls that are accepted shortly before the shutdown of a node and aborted by it. */
     @Test
     void drainingNodeRefusesItsOwnCallersBeforeShutdown() throws Exception {
