Pass request targets with bytes above 127 on unchanged

Cause: the decoder reads the request line with one character a byte, and HttpRequestEncoder writes it as UTF-8, which encodes such bytes a second time.

Change: the request line to the target is written with one byte a character. Headers were unchanged already.

RelayTestCase.bytesAbove127AreForwardedUnchanged, all 128 bytes in path, query and a header, failed before on the path.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import jdk.net.ExtendedSocketOptions;
 
 /** Connections to the local target. The most recently used idle connection is used first, so that few stay open. */
@@ -62,7 +61,7 @@
                         channel.pipeline()
                                 .addLast(
                                         decoder,
-                                        new HttpRequestEncoder(),
+                                        new TargetRequestEncoder(),
                                         new TargetConnection(TargetPool.this, decoder));
                     }
                 });
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -93,6 +93,22 @@
         assertThat(received.header("Host"), is("h.example"));
     }
 
+    /** Guards against bytes above 127 in a request target or a header that reach the target changed. */
+    @Test
+    void bytesAbove127AreForwardedUnchanged() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        StringBuilder bytes = new StringBuilder();
+        for (char character = 0x80; character <= 0xff; character++) {
+            bytes.append(character);
+        }
+        String target = "/safe/" + bytes + "?q=" + bytes;
+        fixture.exchange("GET " + target + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: a\r\nX-Bytes: " + bytes
+                + "-\r\nConnection: close\r\n\r\n");
+        FakeTarget.ReceivedRequest received = fixture.target.calls().get(0);
+        assertThat(received.requestLineAndHeaders(), startsWith("GET " + target + " HTTP/1.1\r\n"));
+        assertThat(received.header("X-Bytes"), is(bytes + "-"));
+    }
+
     /** Guards against a caller that claims a different service than that of its node. */
     @Test
     void callerServiceHeaderIsSetByTheNode() throws IOException {
