Split the drain from Relay and the exchange of suspects from CrashSuspects

CrashSuspects recognizes requests that crash the local target, and SuspectReporter keeps the suspects of the nodes of a service in step. Code was moved; behaviour, log lines and metrics are the same. The tests of node.relay pass.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -4,9 +4,10 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
+import io.jaywick.core.admission.SuspectList;
+import io.jaywick.core.admission.SuspectPolicy;
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.message.Hello;
 import io.jaywick.core.message.PeerEntry;
@@ -55,43 +56,13 @@
     /** A restarting peer is reachable again within seconds. */
     private static final long MAX_BACKOFF_MILLIS = 500;
 
-    /** Interval at which a draining node checks whether it may shut down. */
-    private static final long DRAIN_CHECK_INTERVAL_MILLIS = 50;
-
-    /**
-     * A drain lasts at least this long within the grace period, because the platform detects that a node is not ready
-     * only after two probes, one per second.
-     */
-    private static final long READINESS_DETECTION_MILLIS = 2_300;
-
-    /**
-     * Fraction of the grace period after which calls of local callers are refused, so that calls accepted before can
-     * complete in the remainder. Callers that still send calls at that time have no other node to use.
-     */
-    private static final double REFUSE_AFTER_GRACE_FRACTION = 0.45;
-
-    /**
-     * Fraction of the grace period during which a draining node still accepts calls to its target that are expected to
-     * end before the shutdown: the node waits that long for its callers anyway, and other targets may be at capacity.
-     */
-    private static final double ACCEPT_DURING_GRACE_FRACTION = 0.25;
-
-    /** Time between the planned shutdown and the forced end of the process. */
-    private static final long SHUTDOWN_MARGIN_MILLIS = 500;
-
-    /**
-     * Calls must be answered this long before the planned shutdown, so that a response that the target sends at the
-     * deadline is still forwarded.
-     */
-    private static final long RESPONSE_MARGIN_MILLIS = 150;
-
     private static final int STATUS_OK = 200;
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final RelaySettings settings;
     private final RelayLog log;
     private final EventLoop loop;
-    private final CrashSuspects suspects;
+    private final SuspectReporter suspectReporter;
     private final LocalTarget localTarget;
     private final TargetPool pool;
     private final OutboundCalls outboundCalls;
@@ -104,18 +75,13 @@
     private final LongSupplier nanoTime;
     private final SourceExchange sourceExchange;
     private final DeferredSourceState sourceState = new DeferredSourceState();
-    private final DrainDeadline drainDeadline = new DrainDeadline();
-    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private final RelayDrain drain;
     private volatile FleetView view = new FleetView(RuleSet.EMPTY, List.of(), Set.of());
     private volatile boolean isReady;
-    private volatile boolean draining;
-    private long drainStartNanos;
-    private boolean refusingCallsToLocalTarget;
-    private boolean callsAborted;
 
     public Relay(RelaySettings settings, HeaderNames names, NodeRuntime runtime, PrometheusMeterRegistry registry) {
         requireAddresses(settings);
-        RelayContext context = new RelayContext(settings, names, () -> view, runtime, drainDeadline);
+        RelayContext context = new RelayContext(settings, names, () -> view, runtime, new DrainDeadline());
         LoopResources loops = runtime.loops();
         this.settings = settings;
         this.log = runtime.log();
@@ -133,8 +99,10 @@
                 MAX_BACKOFF_MILLIS);
         this.link = new TcpPeerLink(codec, traffic, limits, loops, this::self, runtime.random());
         this.pool = new TargetPool(context);
-        this.suspects = new CrashSuspects(context, link);
-        handlers.register(SuspectReport.class, message -> suspects.handle((SuspectReport) message));
+        SuspectList suspectList = new SuspectList(settings.region(), SuspectPolicy.CONCURRENT, nanoTime);
+        this.suspectReporter = new SuspectReporter(context, link, suspectList);
+        CrashSuspects suspects = new CrashSuspects(context, suspectList, suspectReporter);
+        handlers.register(SuspectReport.class, message -> suspectReporter.handle((SuspectReport) message));
         this.localTarget = new LocalTarget(context, pool, suspects);
         this.peerCalls = new PeerCalls(link, localTarget, log);
         peerCalls.register(handlers);
@@ -155,11 +123,13 @@
                 new OutboundCalls(context, instanceSelector, localTarget, peerCalls, new RelayMeters(registry));
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
         this.clientListener = new ClientListener(context, outboundCalls);
+        this.drain = new RelayDrain(
+                context, localTarget, outboundCalls, peerCalls, clientListener, peerServer, sourceExchange);
         this.readyServer = HttpServer.create()
                 .runOn(loops, false)
                 .bindAddress(() -> parseAddress(settings.readyAddress()))
                 .route(routes -> routes.get(settings.readyPath(), (request, response) -> response.status(
-                                isReady && !draining ? STATUS_OK : STATUS_UNAVAILABLE)
+                                isReady && !isDraining() ? STATUS_OK : STATUS_UNAVAILABLE)
                         .send()))
                 .bindNow();
         this.metricsServer = settings.metricsAddress() == null
@@ -175,7 +145,7 @@
         registry.gauge("jaywick.target.running", localTarget, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", localTarget, LocalTarget::waiting);
         registry.gauge("jaywick.target.cold", localTarget, target -> target.isCold() ? 1 : 0);
-        registry.gauge("jaywick.target.suspects", suspects, CrashSuspects::size);
+        registry.gauge("jaywick.target.suspects", suspectList, SuspectList::size);
         registry.more().counter("jaywick.target.crashes", Tags.empty(), suspects, CrashSuspects::crashCount);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
@@ -193,6 +163,11 @@
         return address;
     }
 
+    /** Connections to peers need the identity of this node while it is still being constructed. */
+    private boolean isDraining() {
+        return drain != null && drain.isStarted();
+    }
+
     private PeerEntry self() {
         return new PeerEntry(
                 settings.name(),
@@ -203,7 +178,7 @@
                 settings.peerAddress(),
                 0,
                 0,
-                draining);
+                isDraining());
     }
 
     /** Applies a newer view of the fleet; may be called from any thread. */
@@ -211,7 +186,7 @@
         loop.execute(() -> {
             view = newer;
             localTarget.viewChanged();
-            suspects.viewChanged();
+            suspectReporter.viewChanged();
             outboundCalls.viewChanged();
             boolean usable = newer.rules().isLoaded() && !newer.instances().isEmpty();
             if (usable && !isReady) {
@@ -260,88 +235,8 @@
      * when no call is in flight, or shortly before the forced end of the process.
      */
     public CompletableFuture<Void> drain() {
-        loop.execute(() -> {
-            if (draining) {
-                return;
-            }
-            draining = true;
-            drainStartNanos = nanoTime.getAsLong();
-            log.info(
-                    "node drain started",
-                    "callsUnderWay",
-                    outboundCalls.inFlight(),
-                    "takenFromPeers",
-                    peerCalls.accepted());
-            long endMillis = settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS - RESPONSE_MARGIN_MILLIS;
-            drainDeadline.set(drainStartNanos + TimeUnit.MILLISECONDS.toNanos(Math.max(0, endMillis)));
-            localTarget.setShutdownDeadline(drainDeadline.endNanos());
-            sourceExchange.drain();
-            clientListener.drain();
-            loop.scheduleAtFixedRate(
-                    this::checkDrained,
-                    DRAIN_CHECK_INTERVAL_MILLIS,
-                    DRAIN_CHECK_INTERVAL_MILLIS,
-                    TimeUnit.MILLISECONDS);
-        });
-        return stopped;
-    }
-
-    private void checkDrained() {
-        long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nanoTime.getAsLong() - drainStartNanos);
-        boolean isOverdue = elapsedMillis >= settings.graceMillis() - SHUTDOWN_MARGIN_MILLIS;
-        if (elapsedMillis >= settings.graceMillis() * ACCEPT_DURING_GRACE_FRACTION) {
-            refuseCallsToLocalTarget(elapsedMillis);
-        }
-        if (elapsedMillis >= settings.graceMillis() * REFUSE_AFTER_GRACE_FRACTION) {
-            outboundCalls.refuseNew();
-        }
-        if (elapsedMillis < READINESS_DETECTION_MILLIS && !isOverdue) {
-            return;
-        }
-        clientListener.closeWhenIdle();
-        boolean idle = !clientListener.hasBusyConnections() && localTarget.running() == 0 && peerCalls.accepted() == 0;
-        if (stopped.isDone()) {
-            return;
-        }
-        if (idle || callsAborted) {
-            log.info("node drained", "afterMillis", elapsedMillis);
-            stopped.complete(null);
-        } else if (isOverdue) {
-            abortCalls(elapsedMillis);
-        }
-    }
-
-    private void refuseCallsToLocalTarget(long elapsedMillis) {
-        if (refusingCallsToLocalTarget) {
-            return;
-        }
-        refusingCallsToLocalTarget = true;
-        log.info(
-                "draining node refuses calls to its target",
-                "afterMillis",
-                elapsedMillis,
-                "running",
-                localTarget.running(),
-                "waiting",
-                localTarget.waiting());
-        localTarget.refuseNew();
-        peerServer.sendGoAway();
-    }
-
-    /** Aborts the calls in flight; their responses are written before the next drain check, which ends the drain. */
-    private void abortCalls(long elapsedMillis) {
-        callsAborted = true;
-        log.info(
-                "calls in flight aborted",
-                "afterMillis",
-                elapsedMillis,
-                "calls",
-                outboundCalls.inFlight(),
-                "ofPeers",
-                peerCalls.accepted());
-        localTarget.refuseQueued();
-        outboundCalls.abortAll();
-        peerCalls.abortAll();
+        loop.execute(drain::start);
+        return drain.completed();
     }
 
     @Override
