--- a/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/FleetSimulation.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/bench/record/FleetSimulation.java
@@ -91,11 +91,6 @@
         }
     }
 
-    /** Advances the clock without running any process. */
-    public void advanceClock(long millis) {
-        clock.advance(millis);
-    }
-
     /** Shuts down all processes gracefully. */
     public void endGracefully() {
         running.forEach(each -> each.process().endGracefully());
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
@@ -22,9 +22,7 @@
     /** The request was in flight at several crashes of targets and would probably crash this one. */
     SUSPECT,
     /** The deadline has passed, or the queued call can no longer meet it. */
-    DEADLINE,
-    /** The caller disconnected. */
-    CANCELLED;
+    DEADLINE;
 
     /** Returns the name used in logs, metrics and messages. */
     public String label() {
--- a/jaywick-core/src/main/java/io/jaywick/core/limits/PartyQuotaState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/limits/PartyQuotaState.java
@@ -111,13 +111,6 @@
         return quotaCalls;
     }
 
-    /**
-     * Returns the calls admitted within the window that ends now, including calls that are older by up to one bucket.
-     */
-    long usedCalls(long nowNanos) {
-        return used.count(nowNanos);
-    }
-
     int baseAllocation() {
         return baseAllocation;
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/RetryPolicy.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/RetryPolicy.java
@@ -1,7 +1,6 @@
 package io.jaywick.core.retry;
 
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.jaywick.core.routing.RefusalReason;
@@ -49,11 +48,6 @@
         return allowed && budget(service).tryWithdraw(!result.provesNotRun());
     }
 
-    /** Discards the budgets of services that are no longer in the table; the given ones are kept. */
-    public void retainServices(Set<String> services) {
-        budgets.keySet().retainAll(services);
-    }
-
     private RetryBudget budget(String service) {
         RetryBudget found = budgets.get(service);
         return found != null ? found : budgets.computeIfAbsent(service, name -> new RetryBudget());
--- a/jaywick-core/src/main/java/io/jaywick/core/routing/TargetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/routing/TargetState.java
@@ -73,10 +73,6 @@
         return latencyNanos;
     }
 
-    synchronized int inFlight() {
-        return inFlight;
-    }
-
     private double estimatedOthersInFlight(long nowNanos) {
         long age = nowNanos - lastReportNanos;
         if (othersInFlight == 0 || age >= 8 * REPORT_HALF_LIFE_NANOS) {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/FrameChannel.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/FrameChannel.java
@@ -37,11 +37,6 @@
         connection.onReadIdle(limits.idleTimeoutMillis(), this::close);
     }
 
-    /** Returns the number of frames queued for the socket. */
-    int queued() {
-        return queued.get();
-    }
-
     /** Writes a frame; returns false, without writing it, if the queue is full. */
     boolean send(int version, long id, Message message) {
         if (queued.incrementAndGet() > capacity) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientListener.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientListener.java
@@ -107,10 +107,6 @@
         openConnections.remove(connection);
     }
 
-    int openConnections() {
-        return openConnections.size();
-    }
-
     /** Makes every further response close its connection. */
     void drain() {
         draining = true;
