Give up a peer that does not reply to Hello within a second

What callers saw: calls to a peer that accepts the connection and stays silent (a frozen process, a path that went silent) waited until their deadlines and ended as 504, possibly executed, although they had not been sent.

Cause: the checks for an unresponsive peer begin with the first request that is sent, which waits for the reply to Hello; that had the reply timeout of 120 s. Found by reading in the review.

Change: on a link with checks the reply to Hello is awaited as long as a ready peer may be unresponsive, about a second; the waiting calls then fail as not sent, and are tried elsewhere.

TcpPeerLinkTestCase.peerThatDoesNotReplyToHelloFailsAsUnreachable failed before: no result within 20 s.

--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -138,7 +138,15 @@
         channel.receive(this::onFrame, fault -> terminate(fault, true));
         // Peers with the previous or the next protocol version accept a Hello in the newest version of this side.
         channel.send(codec.maxVersion(), HELLO_ID, hello);
-        scheduleTimeout(HELLO_ID);
+        scheduleTimeout(HELLO_ID, helloTimeoutMillis());
+    }
+
+    /** A peer that does not reply to Hello is given up as soon as one that becomes unresponsive later. */
+    private long helloTimeoutMillis() {
+        long responsiveMillis = (MAX_CHECKS_WITHOUT_FRAME + 1) * limits.pingIntervalMillis();
+        return responsiveMillis > 0
+                ? Math.min(responsiveMillis, limits.replyTimeoutMillis())
+                : limits.replyTimeoutMillis();
     }
 
     /** Schedules the next check. Checks run only while requests are in flight, so idle connections need no timers. */
@@ -235,16 +243,14 @@
                     new PeerException(PeerException.Kind.QUEUE_FULL, "request queue full: " + address));
             return;
         }
-        request.timeout = scheduleTimeout(id);
+        request.timeout = scheduleTimeout(id, limits.replyTimeoutMillis());
         if (limits.pingIntervalMillis() > 0 && !checkScheduled && request.expectsPromptReply()) {
             scheduleCheck();
         }
     }
 
-    private ScheduledFuture<?> scheduleTimeout(long id) {
-        return channel.channel()
-                .eventLoop()
-                .schedule(() -> onTimeout(id), limits.replyTimeoutMillis(), TimeUnit.MILLISECONDS);
+    private ScheduledFuture<?> scheduleTimeout(long id, long millis) {
+        return channel.channel().eventLoop().schedule(() -> onTimeout(id), millis, TimeUnit.MILLISECONDS);
     }
 
     private void onTimeout(long id) {
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
@@ -2,6 +2,7 @@
 
 import java.io.DataInputStream;
 import java.io.OutputStream;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
@@ -100,6 +101,21 @@
         assertKind(reply, PeerException.Kind.UNREACHABLE);
     }
 
+    /**
+     * Guards against calls that wait for a peer which accepts the connection and stays silent, until their deadlines,
+     * and are then reported as possibly executed.
+     */
+    @Test
+    void peerThatDoesNotReplyToHelloFailsAsUnreachable() throws Exception {
+        LinkLimits limits = new LinkLimits(4, 1_000, 60_000, 60_000, 50, 500);
+        try (ServerSocket silent = new ServerSocket(0, 4, InetAddress.getLoopbackAddress());
+                TcpPeerLink link = new TcpPeerLink(
+                        new FrameCodec(), new PeerTraffic(), limits, LOOPS, () -> SELF, new Random(1))) {
+            CompletableFuture<Message> reply = link.request("127.0.0.1:" + silent.getLocalPort(), announce());
+            assertKind(reply.orTimeout(20, TimeUnit.SECONDS), PeerException.Kind.UNREACHABLE);
+        }
+    }
+
     /** An unhandled message type must not close the connection, which other requests share. */
     @Test
     void messageWithoutHandlerIsRefusedAndConnectionStaysOpen() throws Exception {
