Limit the request line by the operator's limit on heads

Change: the request line has the operator's limit, as the header fields have.

StrictRequestDecoderTestCase failed before at 12,000 of 16,384 bytes.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/StrictRequestDecoder.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/StrictRequestDecoder.java
@@ -10,12 +10,13 @@
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
-    private static final int MAX_REQUEST_LINE_BYTES = 8_192;
-
+    /**
+     * Creates a decoder.
+     *
+     * @param maxHeaderBytes the operator's limit on the request line, and on the header fields together
+     */
     StrictRequestDecoder(int maxHeaderBytes) {
-        super(new HttpDecoderConfig()
-                .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                .setMaxHeaderSize(maxHeaderBytes));
+        super(new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes).setMaxHeaderSize(maxHeaderBytes));
     }
 
     @Override
