--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -97,6 +97,7 @@
 
     /** Applies a new view of the fleet: the entry of the target and the evacuation of its data centre. */
     void viewChanged() {
+        health.viewChanged();
         FleetView view = context.fleet().get();
         Instance entry = findEntry(view);
         boolean nowEvacuated = view.isEvacuated(context.settings().dataCentre());
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -83,6 +83,13 @@
         }
     }
 
+    /** Resumes the checks of a target that is down; they stop while the rules lack its service. */
+    void viewChanged() {
+        if (down && !checkScheduled) {
+            scheduleCheck();
+        }
+    }
+
     private void sendCheck() {
         ServiceRule service = serviceRule();
         if (service == null) {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -125,7 +125,16 @@
         publish(timeoutMillis, List.of(instance(false), instance("i-2", secondTarget.address(), false)));
     }
 
+    /** Publishes a view whose rules name no service. */
+    void publishWithoutServices(long timeoutMillis) {
+        publish(timeoutMillis, List.of(instance(false)), List.of());
+    }
+
     private void publish(long timeoutMillis, List<Instance> instances) {
+        publish(timeoutMillis, instances, List.of(new ServiceRule("other-service", "/health", 100, 3_000, 0)));
+    }
+
+    private void publish(long timeoutMillis, List<Instance> instances, List<ServiceRule> services) {
         List<RouteRule> routes = new ArrayList<>();
         for (String kind : List.of("safe", "unsafe")) {
             routes.add(new RouteRule(
@@ -140,8 +149,7 @@
                     Set.of(),
                     List.of(new ServiceWeight("other-service", 1))));
         }
-        RuleSet rules =
-                new RuleSet(1, routes, List.of(new ServiceRule("other-service", "/health", 100, 3_000, 0)), LIMITS);
+        RuleSet rules = new RuleSet(1, routes, services, LIMITS);
         published = rules;
         FleetView view = new FleetView(rules, instances, Set.of());
         caller.updateView(view);
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -54,6 +54,9 @@
 
     private static final int MAX_CALLS_UNTIL_DRAIN_CHECK = 10_000;
 
+    /** Calls refused within the pause before a health check. */
+    private static final int CALLS_WITHOUT_SERVICE = 3_000;
+
     /** Calls refused within the pauses between several health checks. */
     private static final int MAX_CALLS_UNTIL_FOUND = 30_000;
 
@@ -329,12 +332,32 @@
         fixture.target.healthScript((request, out) ->
                 checks.incrementAndGet() > 2 && FakeTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"));
         fixture.target.restart();
+        assertThat(callUntilServed(), startsWith("HTTP/1.1 200 "));
+        assertThat("checks without an answer", checks.get(), greaterThan(2));
+    }
+
+    private String callUntilServed() throws IOException {
         String response = "";
         for (int i = 0; i < MAX_CALLS_UNTIL_FOUND && !response.startsWith("HTTP/1.1 200 "); i++) {
-            response = call("GET", "/safe/1", "c" + i, "");
+            response = call("GET", "/safe/1", "served-" + i, "");
         }
-        assertThat(response, startsWith("HTTP/1.1 200 "));
-        assertThat("checks without an answer", checks.get(), greaterThan(2));
+        return response;
+    }
+
+    /** Guards against a target that is refused for ever because the rules lacked its service while it was down. */
+    @Test
+    void targetThatWentDownIsFoundAgainAfterItsServiceReturnsToTheRules() throws IOException {
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(call("GET", "/safe/1", "a", ""), startsWith("HTTP/1.1 200 "));
+        fixture.target.crash();
+        assertThat(call("GET", "/safe/1", "b", ""), startsWith("HTTP/1.1 50"));
+        fixture.publishWithoutServices(TIMEOUT_MILLIS);
+        fixture.target.restart();
+        for (int i = 0; i < CALLS_WITHOUT_SERVICE; i++) {
+            call("GET", "/safe/1", "c" + i, "");
+        }
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat(callUntilServed(), startsWith("HTTP/1.1 200 "));
     }
 
     /** Guards against a new connection to the target for each call, which is expensive for targets. */
