Block a suspect for a minute after its last crash instead of ten

Cause: a blocked request gets no response, and only a response clears a suspect. A popular sound request that ran beside three crashes with another cause, and was answered nowhere in between, would have been refused for ten minutes after its service had recovered. Found by reading the change once more.

Change: the block lasts a minute from the last crash; the request stays a suspect, which is not retried, for ten.

SuspectListTestCase.blockedRequestRunsAgainAndOneMoreCrashBlocksIt; before, the request was still blocked after a minute by construction. The model of 12 nodes in CrashAttributionTestCase and CrashSuspectsTestCase hold.

--- a/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
@@ -23,6 +24,9 @@
     public static final int MAX_ENTRIES = 4_096;
     public static final long EXPIRY_MILLIS = 600_000;
 
+    /** Bounds the memory of one entry; further crashes are not recorded. */
+    private static final int MAX_CRASHES = 16;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private record Entry(Set<String> crashIds, Set<String> homeRegions, long lastCrashNanos, long expiresNanos) {
@@ -69,7 +73,11 @@
     /** Returns the milliseconds for which a request remains blocked, 0 for one that is not blocked. */
     public synchronized long blockedMillis(String fingerprint) {
         Entry entry = entries.isEmpty() ? null : unexpiredEntry(fingerprint);
-        return entry == null || entry.crashes() < policy.crashesToBlock() ? 0 : remainingMillis(entry);
+        if (entry == null || entry.crashes() < policy.crashesToBlock()) {
+            return 0;
+        }
+        long sinceCrashMillis = (nanoTime.getAsLong() - entry.lastCrashNanos()) / NANOS_PER_MILLI;
+        return Math.max(0, Math.min(policy.blockMillis() - sinceCrashMillis, remainingMillis(entry)));
     }
 
     /** Returns the identifiers of the crashes recorded for a request, empty for most requests. */
@@ -92,19 +100,15 @@
 
     /** Returns the entries that may be sent to a peer in the given region, those with the most crashes first. */
     public synchronized List<SuspectEntry> entriesFor(String peerRegion, int max) {
-        List<SuspectEntry> result = new ArrayList<>();
-        for (int crashes = policy.crashesToBlock(); crashes > 0; crashes--) {
-            for (Map.Entry<String, Entry> item : entries.entrySet()) {
-                Entry entry = item.getValue();
-                if (result.size() < max
-                        && entry.crashes() == crashes
-                        && remainingMillis(entry) > 0
-                        && HomeRegions.allows(entry.homeRegions(), peerRegion)) {
-                    result.add(toMessage(item.getKey(), entry));
-                }
-            }
-        }
-        return result;
+        return entries.entrySet().stream()
+                .filter(item -> remainingMillis(item.getValue()) > 0
+                        && HomeRegions.allows(item.getValue().homeRegions(), peerRegion))
+                .sorted(Comparator.comparingInt((Map.Entry<String, Entry> item) ->
+                                item.getValue().crashes())
+                        .reversed())
+                .limit(max)
+                .map(item -> toMessage(item.getKey(), item.getValue()))
+                .toList();
     }
 
     /** Returns the entries of the given requests that may be sent to a peer in the given region. */
@@ -150,7 +154,7 @@
         }
         boolean changed = false;
         for (String crashId : crashIds) {
-            changed |= all.size() < policy.crashesToBlock() && all.add(crashId);
+            changed |= all.size() < MAX_CRASHES && all.add(crashId);
         }
         if (changed) {
             long expiresIn = Math.min(EXPIRY_MILLIS, expiresInMillis);
--- a/jaywick-core/src/test/java/io/jaywick/core/admission/SuspectListTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/admission/SuspectListTestCase.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.message.SuspectEntry;
 import net.jqwik.api.ForAll;
@@ -61,6 +62,28 @@
         assertThat(list.blockedMillis("f"), is(1_000L));
     }
 
+    /**
+     * Guards against a sound request that stays blocked because only its response could clear it, after targets crashed
+     * one after the other for another cause.
+     */
+    @Test
+    void blockedRequestRunsAgainAndOneMoreCrashBlocksIt() {
+        SuspectList list = new SuspectList("a", SuspectPolicy.CONCURRENT, () -> now);
+        for (int i = 0; i < 3; i++) {
+            now += TimeUnit.MILLISECONDS.toNanos(2_000);
+            list.recordCrash("f", "s" + i, Set.of());
+        }
+        assertThat(list.blockedMillis("f"), is(SuspectPolicy.CONCURRENT.blockMillis()));
+        now += TimeUnit.MILLISECONDS.toNanos(SuspectPolicy.CONCURRENT.blockMillis());
+        assertThat(list.isBlocked("f"), is(false));
+        assertThat("still a suspect, which is not retried", list.crashIds("f"), hasSize(3));
+        list.recordCrash("f", "s3", Set.of());
+        assertThat(list.isBlocked("f"), is(true));
+        SuspectList peer = new SuspectList("a", SuspectPolicy.CONCURRENT, () -> now);
+        list.entriesFor("a", 10).forEach(peer::merge);
+        assertThat(peer.isBlocked("f"), is(true));
+    }
+
     /** Guards against a request that is blocked after one crash, or that stays blocked permanently. */
     @Test
     void oneCrashBlocksNothingAndEntriesExpire() {
