Serve waiting requests of a connection in a loop

Found on reading the change once more: a request sent ahead that is answered at once (400, 404, a refusal) served the next one from inside its response, one recursion each.

Change: respond leaves the next request to the loop that started it; the loop is the only place that serves, rejects or starts the idle timer.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -46,6 +46,8 @@
     private PendingCall activeCall;
     private ClientResponse pendingRejection;
     private int unflushedResponses;
+    private boolean starting;
+    private boolean closing;
     private boolean closeAfterResponse;
     private boolean inputEnded;
     private ScheduledFuture<?> timer;
@@ -179,11 +181,11 @@
         if (!keepAlive) {
             inputEnded = true;
         }
+        pipelined.add(request);
+        pipelinedBytes += request.body().length;
         if (activeRequest == null) {
-            serve(request);
+            serveWaiting();
         } else {
-            pipelined.add(request);
-            pipelinedBytes += request.body().length;
             updateReading();
         }
     }
@@ -198,9 +200,29 @@
                 .setAutoRead(pipelined.size() < MAX_PIPELINED && pipelinedBytes < MAX_PIPELINED_BYTES);
     }
 
+    /** Serves waiting requests until one is not answered at once; iterative, because any number may be. */
+    private void serveWaiting() {
+        while (activeRequest == null && !closing && !pipelined.isEmpty()) {
+            ClientRequest next = pipelined.poll();
+            pipelinedBytes -= next.body().length;
+            updateReading();
+            serve(next);
+        }
+        if (activeRequest != null || closing) {
+            return;
+        }
+        if (pendingRejection != null) {
+            writeResponse(null, pendingRejection, true);
+        } else if (incomingRequest == null) {
+            startIdleTimer();
+        }
+    }
+
     private void serve(ClientRequest request) {
         activeRequest = request;
+        starting = true;
         PendingCall started = listener.serve(request, response -> respond(request, response));
+        starting = false;
         if (activeRequest == request) {
             activeCall = started;
         }
@@ -209,23 +231,14 @@
     private void respond(ClientRequest request, ClientResponse response) {
         activeRequest = null;
         activeCall = null;
-        boolean close = closeAfterResponse
+        closing = closeAfterResponse
                 || listener.isDraining()
                 || inputEnded && pipelined.isEmpty() && pendingRejection == null;
-        writeResponse(request, response, close);
-        if (close) {
+        writeResponse(request, response, closing);
+        if (closing) {
             inputEnded = true;
-            return;
-        }
-        ClientRequest next = pipelined.poll();
-        if (next != null) {
-            pipelinedBytes -= next.body().length;
-            updateReading();
-            serve(next);
-        } else if (pendingRejection != null) {
-            writeResponse(null, pendingRejection, true);
-        } else if (incomingRequest == null) {
-            startIdleTimer();
+        } else if (!starting) {
+            serveWaiting();
         }
     }
 
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayTestCase.java
@@ -421,6 +421,53 @@
         }
     }
 
+    /** Guards against a stack overflow when many waiting requests are refused at once, one behind the other. */
+    @Test
+    void manyPipelinedRequestsThatAreRefusedAtOnceAreAllAnswered() throws Exception {
+        fixture.publish(TIMEOUT_MILLIS);
+        CountDownLatch running = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        fixture.target.script((request, out) -> {
+            if (request.header("Request-Id").equals("slow")) {
+                running.countDown();
+                go.await(20, TimeUnit.SECONDS);
+            }
+            return FakeTarget.write(out, FakeTarget.response(request, 200, "done"));
+        });
+        String large = request("POST", "/safe/1", "large", "x".repeat(9_000)).replace("Connection: close\r\n", "");
+        String slow = request("GET", "/safe/1", "slow", "").replace("Connection: close\r\n", "");
+        int count = 20_000;
+        try (Socket socket = fixture.connect()) {
+            // Large requests make the node read in large pieces, which hold thousands of the small ones.
+            String requests =
+                    large.repeat(50) + slow + "GET / HTTP/1.1\r\n\r\n".repeat(count) + "GET / HTTP/1.0\r\n\r\n";
+            Thread writer = new Thread(() -> {
+                try {
+                    socket.getOutputStream().write(requests.getBytes(StandardCharsets.ISO_8859_1));
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            });
+            writer.start();
+            assertThat(running.await(20, TimeUnit.SECONDS), is(true));
+            go.countDown();
+            String responses = new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            writer.join();
+            assertThat(
+                    Pattern.compile("HTTP/1.1 200 ")
+                            .matcher(responses)
+                            .results()
+                            .count(),
+                    is(51L));
+            assertThat(
+                    Pattern.compile("HTTP/1.1 400 ")
+                            .matcher(responses)
+                            .results()
+                            .count(),
+                    is(count + 1L));
+        }
+    }
+
     /**
      * Guards against the rejection of a request that takes the place of the response to the request before it (review
      * case 2).
