Do not deliver a success after a failure with an unknown request id

A failure whose request id is cut or garbled was dropped like a second response to an earlier request, and the target's second response to the call, a success with the id, was delivered. A failure without an id already ended the chance of a success; one with a wrong id did not.

A second response to an earlier request has an id that was sent on the same connection. A failure with any other id, or with none, may be the response to the call in flight, so that a success after it is lost now. A late copy of an earlier failure still changes nothing, and successes to other requests are dropped as before.

copyAfterAFailureWithAnUnknownIdIsNotDelivered failed before: "HTTP/1.1 200 OK". successAfterACopyOfAnEarlierFailureIsDelivered passed before and after.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -80,7 +80,7 @@
         final long sentNanos;
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpResponse response;
-        boolean failureWithoutId;
+        boolean unidentifiedFailure;
         CallResult result;
         ScheduledFuture<?> timeout;
 
@@ -226,7 +226,9 @@
             exchange.response = response;
         } else if (isFinal) {
             pool.unmatchedResponses().recordResponse(exchange.call.requestId(), id, response);
-            exchange.failureWithoutId |= id == null && response.status().codeClass() != HttpStatusClass.SUCCESS;
+            // Only an id that was sent on this connection shows that the response is a second one.
+            exchange.unidentifiedFailure |=
+                    !sentRequestIds.contains(id) && response.status().codeClass() != HttpStatusClass.SUCCESS;
             // A response to another request: its remainder or a further one could be taken for that of the next call.
             reusable = false;
             if (!decoder.endsBeforeClose(response)) {
@@ -283,7 +285,7 @@
             return CallResult.shed("target-shed");
         }
         boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
-        if (isSuccess && exchange.failureWithoutId) {
+        if (isSuccess && exchange.unidentifiedFailure) {
             // The failure may be the response to this call, and the success a second one.
             return CallResult.lost("malformed-answer");
         }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -136,6 +136,32 @@
         assertThat(call("a"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a late copy that is delivered in place of a failure whose request id is cut or garbled. */
+    @Test
+    void copyAfterAFailureWithAnUnknownIdIsNotDelivered() throws IOException {
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(
+                    out, FakeTarget.response(request, 500, "failed").replace("Request-Id: ab", "Request-Id: a"));
+            return FakeTarget.write(out, COPY.replace("Request-Id: a", "Request-Id: ab"));
+        });
+        assertThat(call("ab"), startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Guards against a success that is lost because a late copy of an earlier failure is in front of it. */
+    @Test
+    void successAfterACopyOfAnEarlierFailureIsDelivered() throws IOException {
+        String failure = "HTTP/1.1 500 Some Reason\r\nRequest-Id: a\r\nStamp: s\r\nContent-Length: 6\r\n\r\nfailed";
+        fixture.target.script((request, out) -> FakeTarget.write(
+                out,
+                request.header("Request-Id").equals("a")
+                        ? failure
+                        : failure + FakeTarget.response(request, 200, "done")));
+        assertThat(call("a"), startsWith("HTTP/1.1 500 "));
+        int connections = fixture.target.connections();
+        assertThat(call("b"), endsWith("done"));
+        assertThat("both calls used one connection", fixture.target.connections(), is(connections));
+    }
+
     /** Guards against a late copy that is read as the response to a later attempt with the same request id. */
     @Test
     void copyOfAnEarlierResponseIsNotReadAsTheResponseToARepeatedId() throws IOException {
