Do not report a call as not executed after a failure without its id

Callers could get a 503, and other targets an unsafe request once more, though the call may have been executed (REFUSED, TWICE): a target sends a failure whose request id is missing or unknown, and then a response with the id that says the call was not executed. The failure may be the response to the call, as for a success in that place. Both responses cannot be true, so that such a call is lost now.

Found in a review; no run shows it.

promiseAfterAFailureWithoutIdIsNotBelieved failed before: "HTTP/1.1 503 Service Unavailable".

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -277,18 +277,19 @@
         if (isHealthCheck(exchange.call)) {
             return CallResult.answered(status, HopHeaders.copy(headers, Set.of()), exchange.body.toByteArray());
         }
+        boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
+        boolean isPromise = status == STATUS_MISDIRECTED || headers.contains(names.notExecuted());
+        if (exchange.unidentifiedFailure && (isSuccess || isPromise)) {
+            // The failure may be the response to this call, and this one a second one.
+            return CallResult.lost("malformed-answer");
+        }
         if (status == STATUS_MISDIRECTED) {
             pool.recordInstance(headers.get(names.instanceId()));
             return CallResult.shed(CallResult.ANOTHER_INSTANCE);
         }
-        if (headers.contains(names.notExecuted())) {
+        if (isPromise) {
             return CallResult.shed("target-shed");
         }
-        boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
-        if (isSuccess && exchange.unidentifiedFailure) {
-            // The failure may be the response to this call, and the success a second one.
-            return CallResult.lost("malformed-answer");
-        }
         if (isSuccess && !headers.contains(names.answerStamp()) || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             return CallResult.lost("unsigned-answer");
         }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -162,6 +162,23 @@
         assertThat("both calls used one connection", fixture.target.connections(), is(connections));
     }
 
+    /** Guards against a call that is reported as not executed although its first response, without an id, denies it. */
+    @Test
+    void promiseAfterAFailureWithoutIdIsNotBelieved() throws IOException {
+        for (String promise : List.of("HTTP/1.1 421 ", "HTTP/1.1 503 ")) {
+            fixture.target.script((request, out) -> {
+                String failure = FakeTarget.response(request, 500, "failed").replace("Request-Id: a\r\n", "");
+                FakeTarget.write(out, failure);
+                return FakeTarget.write(
+                        out,
+                        FakeTarget.response(request, 503, "")
+                                .replace("HTTP/1.1 503 ", promise)
+                                .replace("Stamp: s", "Not-Executed: 1"));
+            });
+            assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
     /** Guards against a late copy that is read as the response to a later attempt with the same request id. */
     @Test
     void copyOfAnEarlierResponseIsNotReadAsTheResponseToARepeatedId() throws IOException {
