Do not read a call's second response as the response to a health check

A node could take its target for checked without having learnt its instance id and its cold time. A health check has no request id, and every response without one was taken as its own, also the second response to an earlier call on the same connection that arrives after the check was sent. The real health response then only closed the connection.

A success with a stamp that names no instance is dropped now like any other response to another request, and the check waits for its own. A health response names the instance; a rejected check is no success.

copyWithoutIdIsNotReadAsAHealthResponse failed before: calls still went to i-2 after the target had named itself i-1 ("[i-1, i-2]" instead of "[i-1]"). After: the 21 tests of TargetResponseMatchingTestCase and UnexpectedTargetBytesTestCase pass, once.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -218,7 +218,7 @@
         }
         String id = response.headers().get(pool.names().requestId());
         boolean matches = isHealthCheck(exchange.call)
-                ? id == null
+                ? id == null && !isSuccessOfACall(response)
                 : exchange.call.requestId().equals(id);
         boolean isFinal = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
         responseMatches = matches && isFinal;
@@ -238,6 +238,13 @@
         }
     }
 
+    /** A success of a call has a stamp; one of a health check names the instance. */
+    private boolean isSuccessOfACall(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.SUCCESS
+                && response.headers().contains(pool.names().answerStamp())
+                && !response.headers().contains(pool.names().instanceId());
+    }
+
     private void appendBody(ByteBuf content) {
         if (exchange.body.size() + content.readableBytes() > MAX_RESPONSE_BYTES
                 || !pool.reserveBytes(content.readableBytes())) {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.jaywick.core.message.ForwardAnswer;
@@ -179,6 +181,34 @@
         }
     }
 
+    /** Guards against a target whose cold time and instance are not known because a late copy was read instead. */
+    @Test
+    void copyWithoutIdIsNotReadAsAHealthResponse() throws Exception {
+        CountDownLatch checked = new CountDownLatch(1);
+        fixture.target.healthScript((request, out) -> {
+            FakeTarget.write(out, COPY.replace("Request-Id: a\r\n", ""));
+            FakeTarget.write(out, "HTTP/1.1 200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n");
+            checked.countDown();
+            return true;
+        });
+        fixture.target.script((request, out) -> false);
+        assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+        assertThat("the lost connection leads to a check", checked.await(20, TimeUnit.SECONDS), is(true));
+        fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.response(request, 200, "done")));
+        // The health response arrived before this call, so the node has read it.
+        assertThat(call("b"), endsWith("done"));
+        fixture.publishTwoAtOneAddress(TIMEOUT_MILLIS);
+        for (int i = 0; i < 10; i++) {
+            assertThat(call("c" + i), endsWith("done"));
+        }
+        assertThat(
+                fixture.target.calls().stream()
+                        .map(request -> request.header("Expect"))
+                        .distinct()
+                        .toList(),
+                is(List.of("i-1")));
+    }
+
     /** Guards against a late copy that is read as the response to a later attempt with the same request id. */
     @Test
     void copyOfAnEarlierResponseIsNotReadAsTheResponseToARepeatedId() throws IOException {
