End a call at once if its target switches the protocol

A call waited for its deadline, and its caller got a 504, when its target sent the status 101 with an Upgrade header. The decoder passes all further bytes on undecoded, so that the response to the call cannot arrive on the connection. No request asks for a switch; the response is malformed now, and the call lost.

Found in a review; no run shows it.

switchOfTheProtocolEndsTheCall failed before: "HTTP/1.1 504 Gateway Timeout" after 10.1 s. After: the 22 tests of TargetResponseMatchingTestCase and UnexpectedTargetBytesTestCase pass, once.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -212,7 +213,9 @@
     }
 
     private void startResponse(HttpResponse response) {
-        if (MergedHeads.isMerged(response, pool.names())) {
+        // After a switch of the protocol, which no request asks for, the decoder would decode no further response.
+        if (MergedHeads.isMerged(response, pool.names())
+                || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             rejectMalformed();
             return;
         }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
@@ -123,6 +123,16 @@
         assertThat(call("POST", "b"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a call that waits for its deadline because the decoder reads all further bytes as another protocol. */
+    @Test
+    void switchOfTheProtocolEndsTheCall() throws IOException {
+        fixture.target.script((request, out) -> FakeTarget.write(
+                out,
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
+                        + FakeTarget.response(request, 500, "failed")));
+        assertThat(call("POST", "b"), startsWith("HTTP/1.1 502 "));
+    }
+
     /** Guards against idle connections that are given up because a target sent bytes that are no response. */
     @Test
     void malformedResponseDoesNotShortenTheReuseOfIdleConnections() throws IOException {
