Treat a response whose status or version is not of HTTP/1 as malformed

The decoder accepts any number as a status and any version. A status outside 100 to 599 (RFC 9110, section 15) or a version other than 1.x makes the response malformed now, and the call counts as lost.

Ruled out: an odd name of the protocol, as in "xxxxHTTP/1.1 200 OK"; the decoder rejects it.

statusOrVersionThatIsNotOfHttp1IsNotDelivered failed before: "HTTP/1.1 20 Unknown Status (20)". After: the 25 tests of TargetResponseMatchingTestCase, UnexpectedTargetBytesTestCase and TargetResponseDecoderTestCase pass, once.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -212,9 +212,16 @@
         fail(exchange, CallResult.lost("malformed-answer"));
     }
 
+    /** The decoder accepts any number as a status, and any version. */
+    private static boolean isOfHttp1(HttpResponse response) {
+        return response.protocolVersion().majorVersion() == HttpVersion.HTTP_1_1.majorVersion()
+                && response.status().codeClass() != HttpStatusClass.UNKNOWN;
+    }
+
     private void startResponse(HttpResponse response) {
         // After a switch of the protocol, which no request asks for, the decoder would decode no further response.
-        if (MergedHeads.isMerged(response, pool.names())
+        if (!isOfHttp1(response)
+                || MergedHeads.isMerged(response, pool.names())
                 || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             rejectMalformed();
             return;
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
@@ -133,6 +133,17 @@
         assertThat(call("POST", "b"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a response to a caller that no client of HTTP/1.1 can read. */
+    @Test
+    void statusOrVersionThatIsNotOfHttp1IsNotDelivered() throws IOException {
+        for (String start :
+                List.of("HTTP/1.1 20 ", "HTTP/1.1 2000 ", "HTTP/1.1 600 ", "HTTP/2.0 200 ", "HTTP/0.9 200 ")) {
+            fixture.target.script((request, out) -> FakeTarget.write(
+                    out, FakeTarget.response(request, 200, "ok").replace("HTTP/1.1 200 ", start)));
+            assertThat(start, call("POST", "b"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
     /** Guards against idle connections that are given up because a target sent bytes that are no response. */
     @Test
     void malformedResponseDoesNotShortenTheReuseOfIdleConnections() throws IOException {
