Do not complete a cut chunk with the bytes of a chunked response

If a target cuts a chunked response within a chunk and sends a chunked second response, the bytes of the second one complete the chunk, and its last chunk ends the first response as well, if a line end of the second response lies where the chunk ends. No byte is left over, so that the check for surplus bytes does not see it. With a response of 160 bytes in one chunk this happens at 2 of 160 places of the cut.

A chunked response in whose body a chunked response starts, but does not end, is lost now. A body that contains a whole chunked response is delivered.

Not covered: a cut between the size of a chunk and its line end, where the decoder takes the status line for a part of the size; a body with a length to which the second response has exactly the missing number of bytes.

cutChunkIsNotCompletedByAChunkedCopy failed before, at the cut after 83 bytes: "HTTP/1.1 200 OK". chunkedBodyWithAResponseIsDelivered passed before and after. After: the 27 tests of TargetResponseMatchingTestCase, MergedHeadsTestCase and UnexpectedTargetBytesTestCase pass, once.

--- a/jaywick-node/src/main/java/io/jaywick/node/http/StatusLines.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/http/StatusLines.java
@@ -15,6 +15,11 @@
     /** A status line (RFC 9112, section 4). */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.\\d \\d{3}(?!\\d)");
 
+    private static final Pattern CHUNKED =
+            Pattern.compile("\r\nTransfer-Encoding:[^\r\n]*chunked", Pattern.CASE_INSENSITIVE);
+
+    private static final String LAST_CHUNK = "\r\n0\r\n";
+
     private StatusLines() {}
 
     /**
@@ -37,6 +42,21 @@
         return line.find() && line.start() < body.length;
     }
 
+    /**
+     * Returns whether a chunked response starts in the body of another one, but its last chunk is not in the body. Then
+     * the body was cut in a chunk, and the last chunk of the second response ended the first one as well.
+     */
+    public static boolean endsInChunkedResponse(byte[] body) {
+        String text = new String(body, StandardCharsets.ISO_8859_1);
+        Matcher line = STATUS_LINE.matcher(text);
+        if (!line.find()) {
+            return false;
+        }
+        int headEnd = text.indexOf("\r\n\r\n", line.end());
+        String head = text.substring(line.end(), headEnd < 0 ? text.length() : headEnd);
+        return CHUNKED.matcher(head).find() && text.indexOf(LAST_CHUNK, line.end()) < 0;
+    }
+
     private static boolean isContainedIn(String text) {
         return text.contains(STATUS_LINE_START) && STATUS_LINE.matcher(text).find();
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -361,8 +361,13 @@
     }
 
     private boolean isCompletedByAnother(Exchange finished) {
-        return decoder.isSurplusReceived()
-                && StatusLines.startsInBody(finished.body.toByteArray(), decoder.surplusStart());
+        boolean isChunked = HttpUtil.isTransferEncodingChunked(finished.response);
+        if (!isChunked && !decoder.isSurplusReceived()) {
+            return false;
+        }
+        byte[] body = finished.body.toByteArray();
+        return decoder.isSurplusReceived() && StatusLines.startsInBody(body, decoder.surplusStart())
+                || isChunked && StatusLines.endsInChunkedResponse(body);
     }
 
     private void failAsLost(String reason) {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
@@ -144,6 +144,33 @@
         }
     }
 
+    /** Guards against a chunked success that was cut and ends with the last chunk of the target's second response. */
+    @Test
+    void cutChunkIsNotCompletedByAChunkedCopy() throws IOException {
+        String copy = "HTTP/1.1 200 OK\r\n" + STAMPED + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        String head = copy.substring(0, copy.indexOf("2\r\nok"));
+        String body = "x".repeat(160);
+        for (int cut = 0; cut < body.length(); cut++) {
+            String cutResponse = head + Integer.toHexString(body.length()) + "\r\n" + body.substring(0, cut);
+            fixture.target.script((request, out) -> {
+                FakeTarget.write(out, cutResponse + copy);
+                return false;
+            });
+            assertThat("cut at " + cut, call("POST", "a"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
+    /** Guards against a complete chunked response that is lost because its body resembles a response. */
+    @Test
+    void chunkedBodyWithAResponseIsDelivered() throws IOException {
+        for (String body : SELF_DELIMITING) {
+            String chunks = "\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+            fixture.target.script((request, out) ->
+                    FakeTarget.write(out, "HTTP/1.1 200 OK\r\n" + STAMPED + "Transfer-Encoding: chunked" + chunks));
+            assertThat(call("POST", "a"), endsWith("\r\n\r\n" + body));
+        }
+    }
+
     /** Guards against idle connections that are given up because a target sent bytes that are no response. */
     @Test
     void malformedResponseDoesNotShortenTheReuseOfIdleConnections() throws IOException {
