Treat a stamp that contains a part of a status line as malformed

Callers could get a success whose stamp is not the target's (MIXED). If a target writes two responses in pieces that come between each other, the first bytes of one can lie within the stamp of the other. Only a whole status line was looked for in a header. A stamp that contains "HTTP/" makes the head malformed now, and the call counts as lost; other headers may contain it, such as Via. Fewer bytes than these cannot be recognized.

stampWithTheStartOfAStatusLineIsMerged failed before. After: the 20 tests of MergedHeadsTestCase, TargetResponseMatchingTestCase and TargetResponseDecoderTestCase pass, once.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/MergedHeads.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/MergedHeads.java
@@ -1,5 +1,7 @@
 package io.jaywick.node.relay;
 
+import java.util.List;
+
 import io.jaywick.node.http.StatusLines;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
@@ -10,13 +12,20 @@
  */
 final class MergedHeads {
 
+    private static final String VERSION_START = "HTTP/";
+
     private MergedHeads() {}
 
-    /** Returns whether a head contains a second status line, or a header twice that a target sends once. */
+    /**
+     * Returns whether a head contains a second status line, a stamp with a part of one, or a header twice that a target
+     * sends once.
+     */
     static boolean isMerged(HttpResponse response, HeaderNames names) {
         HttpHeaders headers = response.headers();
+        List<String> stamps = headers.getAll(names.answerStamp());
         return StatusLines.hasSecond(response)
                 || headers.getAll(names.requestId()).size() > 1
-                || headers.getAll(names.answerStamp()).size() > 1;
+                || stamps.size() > 1
+                || stamps.stream().anyMatch(stamp -> stamp.contains(VERSION_START));
     }
 }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/MergedHeadsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/MergedHeadsTestCase.java
@@ -40,4 +40,11 @@
         assertThat(isMerged("OK", "Stamp", "s", "Stamp", "t"), is(true));
         assertThat(isMerged("OK", "Request-Id", "a", "request-id", "a"), is(true));
     }
+
+    /** Guards against a stamp into which the first bytes of another response were written. */
+    @Test
+    void stampWithTheStartOfAStatusLineIsMerged() {
+        assertThat(isMerged("OK", "Request-Id", "a", "Stamp", "3e1b.07HTTP/.5a2.600"), is(true));
+        assertThat(isMerged("OK", "Request-Id", "a", "Stamp", "3e1b.07.5a2.600HTTP/1.1 2"), is(true));
+    }
 }
