Treat a failure with an empty request id like one without it

Callers could get a success in place of a target's failure (MIXED) on a connection that had carried a health check: the failure had an empty request id, which is also the id of the health check, and was taken for a response to it. The target's second response, a success with the id, was delivered.

copyAfterAFailureWithAnEmptyIdIsNotDelivered failed before: "HTTP/1.1 200 OK".

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -236,9 +236,8 @@
             exchange.response = response;
         } else if (isFinal) {
             pool.unmatchedResponses().recordResponse(exchange.call.requestId(), id, response);
-            // Only an id that was sent on this connection shows that the response is a second one.
             exchange.unidentifiedFailure |=
-                    !sentRequestIds.contains(id) && response.status().codeClass() != HttpStatusClass.SUCCESS;
+                    !isIdOfSentCall(id) && response.status().codeClass() != HttpStatusClass.SUCCESS;
             // A response to another request: its remainder or a further one could be taken for that of the next call.
             reusable = false;
             if (!decoder.endsBeforeClose(response)) {
@@ -248,6 +247,11 @@
         }
     }
 
+    /** Only an id that was sent on this connection shows that a response is a second one; health checks have none. */
+    private boolean isIdOfSentCall(String id) {
+        return id != null && !id.isEmpty() && sentRequestIds.contains(id);
+    }
+
     /** A success of a call has a stamp; one of a health check names the instance. */
     private boolean isSuccessOfACall(HttpResponse response) {
         return response.status().codeClass() == HttpStatusClass.SUCCESS
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -149,6 +149,26 @@
         assertThat(call("ab"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a failure with an empty id that is taken for one of a health check on the same connection. */
+    @Test
+    void copyAfterAFailureWithAnEmptyIdIsNotDelivered() throws Exception {
+        fixture.close();
+        fixture = new RelayFixture();
+        CountDownLatch checked = new CountDownLatch(1);
+        fixture.target.healthScript((request, out) -> {
+            FakeTarget.write(out, "HTTP/1.1 200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n");
+            checked.countDown();
+            return true;
+        });
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat("the new target is checked", checked.await(20, TimeUnit.SECONDS), is(true));
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, FakeTarget.response(request, 500, "failed").replace("Request-Id: a", "Request-Id: "));
+            return FakeTarget.write(out, COPY);
+        });
+        assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+    }
+
     /** Guards against a success that is lost because a late copy of an earlier failure is in front of it. */
     @Test
     void successAfterACopyOfAnEarlierFailureIsDelivered() throws IOException {
