--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -80,7 +81,7 @@
         final long sentNanos;
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpResponse response;
-        boolean failureWithoutId;
+        boolean unidentifiedFailure;
         CallResult result;
         ScheduledFuture<?> timeout;
 
@@ -211,14 +212,23 @@
         fail(exchange, CallResult.lost("malformed-answer"));
     }
 
+    /** The decoder accepts any number as a status, and any version. */
+    private static boolean isOfHttp1(HttpResponse response) {
+        return response.protocolVersion().majorVersion() == HttpVersion.HTTP_1_1.majorVersion()
+                && response.status().codeClass() != HttpStatusClass.UNKNOWN;
+    }
+
     private void startResponse(HttpResponse response) {
-        if (MergedHeads.isMerged(response, pool.names())) {
+        // After a switch of the protocol, which no request asks for, the decoder would decode no further response.
+        if (!isOfHttp1(response)
+                || MergedHeads.isMerged(response, pool.names())
+                || response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
             rejectMalformed();
             return;
         }
         String id = response.headers().get(pool.names().requestId());
         boolean matches = isHealthCheck(exchange.call)
-                ? id == null
+                ? id == null && !isSuccessOfACall(response)
                 : exchange.call.requestId().equals(id);
         boolean isFinal = response.status().codeClass() != HttpStatusClass.INFORMATIONAL;
         responseMatches = matches && isFinal;
@@ -226,7 +236,8 @@
             exchange.response = response;
         } else if (isFinal) {
             pool.unmatchedResponses().recordResponse(exchange.call.requestId(), id, response);
-            exchange.failureWithoutId |= id == null && response.status().codeClass() != HttpStatusClass.SUCCESS;
+            exchange.unidentifiedFailure |=
+                    !isIdOfSentCall(id) && response.status().codeClass() != HttpStatusClass.SUCCESS;
             // A response to another request: its remainder or a further one could be taken for that of the next call.
             reusable = false;
             if (!decoder.endsBeforeClose(response)) {
@@ -236,6 +247,18 @@
         }
     }
 
+    /** Only an id that was sent on this connection shows that a response is a second one; health checks have none. */
+    private boolean isIdOfSentCall(String id) {
+        return id != null && !id.isEmpty() && sentRequestIds.contains(id);
+    }
+
+    /** A success of a call has a stamp; one of a health check names the instance. */
+    private boolean isSuccessOfACall(HttpResponse response) {
+        return response.status().codeClass() == HttpStatusClass.SUCCESS
+                && response.headers().contains(pool.names().answerStamp())
+                && !response.headers().contains(pool.names().instanceId());
+    }
+
     private void appendBody(ByteBuf content) {
         if (exchange.body.size() + content.readableBytes() > MAX_RESPONSE_BYTES
                 || !pool.reserveBytes(content.readableBytes())) {
@@ -275,18 +298,19 @@
         if (isHealthCheck(exchange.call)) {
             return CallResult.answered(status, HopHeaders.copy(headers, Set.of()), exchange.body.toByteArray());
         }
+        boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
+        boolean isPromise = status == STATUS_MISDIRECTED || headers.contains(names.notExecuted());
+        if (exchange.unidentifiedFailure && (isSuccess || isPromise)) {
+            // The failure may be the response to this call, and this one a second one.
+            return CallResult.lost("malformed-answer");
+        }
         if (status == STATUS_MISDIRECTED) {
             pool.recordInstance(headers.get(names.instanceId()));
             return CallResult.shed(CallResult.ANOTHER_INSTANCE);
         }
-        if (headers.contains(names.notExecuted())) {
+        if (isPromise) {
             return CallResult.shed("target-shed");
         }
-        boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
-        if (isSuccess && exchange.failureWithoutId) {
-            // The failure may be the response to this call, and the success a second one.
-            return CallResult.lost("malformed-answer");
-        }
         if (isSuccess && !headers.contains(names.answerStamp()) || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             return CallResult.lost("unsigned-answer");
         }
@@ -341,8 +365,13 @@
     }
 
     private boolean isCompletedByAnother(Exchange finished) {
-        return decoder.isSurplusReceived()
-                && StatusLines.startsInBody(finished.body.toByteArray(), decoder.surplusStart());
+        boolean isChunked = HttpUtil.isTransferEncodingChunked(finished.response);
+        if (!isChunked && !decoder.isSurplusReceived()) {
+            return false;
+        }
+        byte[] body = finished.body.toByteArray();
+        return decoder.isSurplusReceived() && StatusLines.startsInBody(body, decoder.surplusStart())
+                || isChunked && StatusLines.endsInChunkedResponse(body);
     }
 
     private void failAsLost(String reason) {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -5,6 +5,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.jaywick.core.message.ForwardAnswer;
@@ -136,6 +138,97 @@
         assertThat(call("a"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a late copy that is delivered in place of a failure whose request id is cut or garbled. */
+    @Test
+    void copyAfterAFailureWithAnUnknownIdIsNotDelivered() throws IOException {
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(
+                    out, FakeTarget.response(request, 500, "failed").replace("Request-Id: ab", "Request-Id: a"));
+            return FakeTarget.write(out, COPY.replace("Request-Id: a", "Request-Id: ab"));
+        });
+        assertThat(call("ab"), startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Guards against a failure with an empty id that is taken for one of a health check on the same connection. */
+    @Test
+    void copyAfterAFailureWithAnEmptyIdIsNotDelivered() throws Exception {
+        fixture.close();
+        fixture = new RelayFixture();
+        CountDownLatch checked = new CountDownLatch(1);
+        fixture.target.healthScript((request, out) -> {
+            FakeTarget.write(out, "HTTP/1.1 200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n");
+            checked.countDown();
+            return true;
+        });
+        fixture.publish(TIMEOUT_MILLIS);
+        assertThat("the new target is checked", checked.await(20, TimeUnit.SECONDS), is(true));
+        fixture.target.script((request, out) -> {
+            FakeTarget.write(out, FakeTarget.response(request, 500, "failed").replace("Request-Id: a", "Request-Id: "));
+            return FakeTarget.write(out, COPY);
+        });
+        assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Guards against a success that is lost because a late copy of an earlier failure is in front of it. */
+    @Test
+    void successAfterACopyOfAnEarlierFailureIsDelivered() throws IOException {
+        String failure = "HTTP/1.1 500 Some Reason\r\nRequest-Id: a\r\nStamp: s\r\nContent-Length: 6\r\n\r\nfailed";
+        fixture.target.script((request, out) -> FakeTarget.write(
+                out,
+                request.header("Request-Id").equals("a")
+                        ? failure
+                        : failure + FakeTarget.response(request, 200, "done")));
+        assertThat(call("a"), startsWith("HTTP/1.1 500 "));
+        int connections = fixture.target.connections();
+        assertThat(call("b"), endsWith("done"));
+        assertThat("both calls used one connection", fixture.target.connections(), is(connections));
+    }
+
+    /** Guards against a call that is reported as not executed although its first response, without an id, denies it. */
+    @Test
+    void promiseAfterAFailureWithoutIdIsNotBelieved() throws IOException {
+        for (String promise : List.of("HTTP/1.1 421 ", "HTTP/1.1 503 ")) {
+            fixture.target.script((request, out) -> {
+                String failure = FakeTarget.response(request, 500, "failed").replace("Request-Id: a\r\n", "");
+                FakeTarget.write(out, failure);
+                return FakeTarget.write(
+                        out,
+                        FakeTarget.response(request, 503, "")
+                                .replace("HTTP/1.1 503 ", promise)
+                                .replace("Stamp: s", "Not-Executed: 1"));
+            });
+            assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
+    /** Guards against a target whose cold time and instance are not known because a late copy was read instead. */
+    @Test
+    void copyWithoutIdIsNotReadAsAHealthResponse() throws Exception {
+        CountDownLatch checked = new CountDownLatch(1);
+        fixture.target.healthScript((request, out) -> {
+            FakeTarget.write(out, COPY.replace("Request-Id: a\r\n", ""));
+            FakeTarget.write(out, "HTTP/1.1 200 OK\r\nInstance: i-1\r\nContent-Length: 0\r\n\r\n");
+            checked.countDown();
+            return true;
+        });
+        fixture.target.script((request, out) -> false);
+        assertThat(call("a"), startsWith("HTTP/1.1 502 "));
+        assertThat("the lost connection leads to a check", checked.await(20, TimeUnit.SECONDS), is(true));
+        fixture.target.script((request, out) -> FakeTarget.write(out, FakeTarget.response(request, 200, "done")));
+        // The health response arrived before this call, so the node has read it.
+        assertThat(call("b"), endsWith("done"));
+        fixture.publishTwoAtOneAddress(TIMEOUT_MILLIS);
+        for (int i = 0; i < 10; i++) {
+            assertThat(call("c" + i), endsWith("done"));
+        }
+        assertThat(
+                fixture.target.calls().stream()
+                        .map(request -> request.header("Expect"))
+                        .distinct()
+                        .toList(),
+                is(List.of("i-1")));
+    }
+
     /** Guards against a late copy that is read as the response to a later attempt with the same request id. */
     @Test
     void copyOfAnEarlierResponseIsNotReadAsTheResponseToARepeatedId() throws IOException {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
@@ -123,6 +123,54 @@
         assertThat(call("POST", "b"), startsWith("HTTP/1.1 502 "));
     }
 
+    /** Guards against a call that waits for its deadline because the decoder reads all further bytes as another protocol. */
+    @Test
+    void switchOfTheProtocolEndsTheCall() throws IOException {
+        fixture.target.script((request, out) -> FakeTarget.write(
+                out,
+                "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n"
+                        + FakeTarget.response(request, 500, "failed")));
+        assertThat(call("POST", "b"), startsWith("HTTP/1.1 502 "));
+    }
+
+    /** Guards against a response to a caller that no client of HTTP/1.1 can read. */
+    @Test
+    void statusOrVersionThatIsNotOfHttp1IsNotDelivered() throws IOException {
+        for (String start :
+                List.of("HTTP/1.1 20 ", "HTTP/1.1 2000 ", "HTTP/1.1 600 ", "HTTP/2.0 200 ", "HTTP/0.9 200 ")) {
+            fixture.target.script((request, out) -> FakeTarget.write(
+                    out, FakeTarget.response(request, 200, "ok").replace("HTTP/1.1 200 ", start)));
+            assertThat(start, call("POST", "b"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
+    /** Guards against a chunked success that was cut and ends with the last chunk of the target's second response. */
+    @Test
+    void cutChunkIsNotCompletedByAChunkedCopy() throws IOException {
+        String copy = "HTTP/1.1 200 OK\r\n" + STAMPED + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+        String head = copy.substring(0, copy.indexOf("2\r\nok"));
+        String body = "x".repeat(160);
+        for (int cut = 0; cut < body.length(); cut++) {
+            String cutResponse = head + Integer.toHexString(body.length()) + "\r\n" + body.substring(0, cut);
+            fixture.target.script((request, out) -> {
+                FakeTarget.write(out, cutResponse + copy);
+                return false;
+            });
+            assertThat("cut at " + cut, call("POST", "a"), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
+    /** Guards against a complete chunked response that is lost because its body resembles a response. */
+    @Test
+    void chunkedBodyWithAResponseIsDelivered() throws IOException {
+        for (String body : SELF_DELIMITING) {
+            String chunks = "\r\n\r\n" + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n";
+            fixture.target.script((request, out) ->
+                    FakeTarget.write(out, "HTTP/1.1 200 OK\r\n" + STAMPED + "Transfer-Encoding: chunked" + chunks));
+            assertThat(call("POST", "a"), endsWith("\r\n\r\n" + body));
+        }
+    }
+
     /** Guards against idle connections that are given up because a target sent bytes that are no response. */
     @Test
     void malformedResponseDoesNotShortenTheReuseOfIdleConnections() throws IOException {
