--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -189,6 +189,11 @@
         paused = true;
     }
 
+    /** Monotonic time of the nodes. */
+    long nanoTime() {
+        return runtime.nanoTime().getAsLong();
+    }
+
     /** Waits until each draining node has checked at least once more whether it may shut down. */
     void awaitDrainCheck() throws InterruptedException, ExecutionException, TimeoutException {
         CompletableFuture<Void> checked = new CompletableFuture<>();
@@ -329,7 +334,12 @@
 
     /** Sends raw bytes to the caller's node and returns all received bytes until it closes the connection. */
     String exchange(String bytes) throws IOException {
-        try (Socket socket = connect()) {
+        return exchange(caller, bytes);
+    }
+
+    /** Sends raw bytes to a node as a local caller and returns all received bytes until it closes the connection. */
+    static String exchange(Relay node, String bytes) throws IOException {
+        try (Socket socket = connect(node)) {
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
@@ -345,8 +355,12 @@
     }
 
     Socket connect() throws IOException {
-        Socket socket = new Socket(
-                InetAddress.getByName(CALLER_HOST), caller.outboundAddress().getPort());
+        return connect(caller);
+    }
+
+    private static Socket connect(Relay node) throws IOException {
+        InetSocketAddress address = node.outboundAddress();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout((int) Duration.ofSeconds(20).toMillis());
         return socket;
     }
