Keep to the rate limit that a target names

Targets name in their responses how many calls per second they accept from all nodes together, for as long as they say so. No code read the header: in an incident two targets that named 14.9 and 15.4 got 138 and 168 calls in 4 s; allowed were 94 and 97.

All calls to a target pass the gate of the node next to it, so the gate alone enforces the limit, beside the limit of a cold target; a division of the limit among the nodes of the callers was ruled out, because it would need their number and leave parts unused. Each response to a call, also a refusal of the target itself, states the limit that is in force, and one without the header ends it; a health response can only set it. A response of another instance (421), a second copy and a response that began before the newest one change nothing, and text that is no finite number from 0 on is logged and ignored. Calls that can still be answered in time wait, others are refused at once as rate-limited with the wait as Retry-After, and hedges are refused. Calls that started within the 4 s before count, so that a new limit is in force at once. Fractions are kept on average: 15.4 allows 16 starts in any 1.039 s. A target that names less than one call in 4 s still gets one in 4 s, because only its responses show that the limit has ended.

A node that has just started has no response of its target. The nodes of the callers pass on the limit that they last saw, in a new last field of ForwardCall, which previous versions skip and leave out; it holds until the first own response. A shed call now travels with the headers of its response.

A cold target that sustains less than one call per second now gets one per second, as its expected wait already said.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
@@ -13,6 +13,8 @@
     OVERLOADED,
     /** The target is cold and has received as many calls in the last second as it may. */
     COLD,
+    /** The target has received as many calls recently as the limit allows that it names. */
+    RATE_LIMITED,
     /** The target is draining or no longer listed, its data centre is evacuated, or the node is draining. */
     LEAVING,
     /** The node next to the target cannot reach it. */
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/StartRateWindow.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/StartRateWindow.java
@@ -3,21 +3,22 @@
 import java.util.ArrayDeque;
 import java.util.Iterator;
 
-/**
- * Sliding window of the calls started at a target in the last second, to limit the rate of a cold one. Not thread-safe.
- */
+/** The calls started recently at a target, to limit the rate of starts. Not thread-safe. */
 final class StartRateWindow {
 
-    private static final long WINDOW_NANOS = 1_000_000_000;
+    /** Longest period of a {@link StartRate} that can be enforced. */
+    static final long MAX_PERIOD_NANOS = 4_000_000_000L;
+
     private static final double NANOS_PER_MILLI = 1_000_000;
 
-    /** Bounds the memory; no target receives as many calls in one second. */
+    /** Bounds the memory; no target receives as many calls in one period. */
     private static final int MAX_STARTS = 4_096;
 
     private final ArrayDeque<Long> startNanos = new ArrayDeque<>();
 
     void recordStart(long nowNanos) {
-        if (startNanos.size() >= MAX_STARTS) {
+        while (startNanos.size() >= MAX_STARTS
+                || !startNanos.isEmpty() && nowNanos - startNanos.peekFirst() >= MAX_PERIOD_NANOS) {
             startNanos.removeFirst();
         }
         startNanos.addLast(nowNanos);
@@ -28,32 +29,24 @@
      *
      * @param ahead number of calls that start before it
      */
-    double waitMillis(int ahead, double callsPerSecond, long nowNanos) {
-        int perSecond = (int) Math.max(1, callsPerSecond);
-        int starts = startsInWindow(nowNanos);
-        int excess = Math.min(starts, perSecond) + ahead + 1 - perSecond;
-        if (excess <= 0) {
-            return 0;
+    double waitMillis(int ahead, StartRate rate, long nowNanos) {
+        // At the full rate each call starts one period after the call that is so many calls before it.
+        int starts = startNanos.size();
+        long previous = (long) starts + ahead - rate.calls();
+        long furtherPeriods = 0;
+        if (previous >= starts) {
+            furtherPeriods = (previous - starts) / rate.calls() + 1;
+            previous -= furtherPeriods * rate.calls();
         }
-        // At the full rate each call starts one second after the call that held its position in the window.
-        int position = Math.max(0, starts - perSecond) + (excess - 1) % perSecond;
-        long seconds = 1 + (excess - 1) / perSecond;
-        long previousNanos = position < starts ? startNanosAt(position) : nowNanos;
-        return (previousNanos + seconds * WINDOW_NANOS - nowNanos) / NANOS_PER_MILLI;
+        long waitNanos = previous < 0 ? 0 : Math.max(0, startNanosAt((int) previous) + rate.periodNanos() - nowNanos);
+        return (waitNanos + furtherPeriods * rate.periodNanos()) / NANOS_PER_MILLI;
     }
 
     private long startNanosAt(int position) {
-        Iterator<Long> oldestFirst = startNanos.iterator();
-        for (int i = 0; i < position; i++) {
-            oldestFirst.next();
-        }
-        return oldestFirst.next();
-    }
-
-    int startsInWindow(long nowNanos) {
-        while (!startNanos.isEmpty() && nowNanos - startNanos.peekFirst() >= WINDOW_NANOS) {
-            startNanos.removeFirst();
+        Iterator<Long> newestFirst = startNanos.descendingIterator();
+        for (int i = startNanos.size() - 1; i > position; i--) {
+            newestFirst.next();
         }
-        return startNanos.size();
+        return newestFirst.next();
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -40,6 +40,12 @@
     /** Bounds the memory of the queue; the deadlines of the calls keep it far shorter. */
     private static final int MAX_WAITING = 512;
 
+    /**
+     * A target receives at least this many calls per second, whatever limit it names, because only its responses show
+     * that the limit has ended.
+     */
+    private static final double MIN_CALLS_PER_SECOND = 0.25;
+
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier nanoTime;
@@ -51,7 +57,8 @@
     private int slots = INITIAL_SLOTS;
     private boolean cold;
     private long coldUntilNanos;
-    private double coldCallsPerSecond;
+    private StartRate coldRate;
+    private StartRate rateLimit;
     private boolean hasShutdownDeadline;
     private long shutdownNanos;
 
@@ -90,7 +97,23 @@
     public void setColdStartLimit(long untilNanos, double callsPerSecond) {
         cold = callsPerSecond > 0;
         coldUntilNanos = untilNanos;
-        coldCallsPerSecond = callsPerSecond;
+        coldRate = StartRate.inAnySecond(callsPerSecond);
+    }
+
+    /**
+     * Limits the rate at which calls start, as the target demands, until {@link #removeRateLimit}. Calls that started
+     * before count.
+     *
+     * @param callsPerSecond at least 0
+     */
+    public void setRateLimit(double callsPerSecond) {
+        rateLimit = StartRate.onAverage(Math.max(MIN_CALLS_PER_SECOND, callsPerSecond));
+        dispatch();
+    }
+
+    public void removeRateLimit() {
+        rateLimit = null;
+        dispatch();
     }
 
     public boolean isCold() {
@@ -119,22 +142,25 @@
         if (mayOutlastShutdown(call.urgency, now)) {
             return GateRefusal.LEAVING;
         }
-        boolean coldBudgetExhausted = isColdBudgetExhausted(now);
-        boolean hasFreeSlot = running() < slots && waiting.isEmpty() && !coldBudgetExhausted;
+        GateRefusal exhaustedBudget = findExhaustedBudget(now);
+        boolean hasFreeSlot = running() < slots && waiting.isEmpty() && exhaustedBudget == null;
         double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
         double expectedAnswerNanos = now + (expectedWaitMillis(call.urgency, now) + serviceMillis) * NANOS_PER_MILLI;
         double latestAnswerNanos = call.urgency.objectiveNanos()
                 + (hasFreeSlot ? FREE_SLOT_TOLERANCE * (call.urgency.objectiveNanos() - now) : 0);
         // An idle target accepts a trial attempt even if it was slow; otherwise its recovery would not be observed.
-        if (call.trial && (running() > 0 || coldBudgetExhausted) && expectedAnswerNanos > latestAnswerNanos) {
-            return coldBudgetExhausted ? GateRefusal.COLD : GateRefusal.BUSY;
+        if (call.trial && (running() > 0 || exhaustedBudget != null) && expectedAnswerNanos > latestAnswerNanos) {
+            return exhaustedBudget == null ? GateRefusal.BUSY : exhaustedBudget;
         }
         boolean hasSpareSlots = running() + waiting.size() < slots * SPARE_FRACTION;
         if (call.trial && call.fromOtherRegion && !hasSpareSlots || call.hedge && (!hasSpareSlots || isCold())) {
             return GateRefusal.BUSY;
         }
+        if (call.hedge && rateLimit != null) {
+            return GateRefusal.RATE_LIMITED;
+        }
         if (!hasFreeSlot && (expectedAnswerNanos > effectiveDeadlineNanos(call) || waiting.size() >= MAX_WAITING)) {
-            return coldBudgetExhausted ? GateRefusal.COLD : GateRefusal.OVERLOADED;
+            return exhaustedBudget == null ? GateRefusal.OVERLOADED : exhaustedBudget;
         }
         if (hasFreeSlot) {
             start(call, now);
@@ -184,18 +210,31 @@
         return (long) Math.ceil(waitMillis + serviceTimes.overallAverageMillis());
     }
 
-    /**
-     * Returns the wait behind calls with the given total service time: for a slot, and for the rate of a cold target.
-     */
+    /** Returns the wait behind calls with the given total service time: for a slot, and for the rate of starts. */
     private double waitMillis(int ahead, double aheadServiceMillis, long now) {
         boolean hasFreeSlot = running() < slots && waiting.isEmpty();
         double slotWaitMillis = hasFreeSlot ? 0 : millisUntilFreeSlot() + aheadServiceMillis / slots;
-        if (!isCold()) {
-            return slotWaitMillis;
+        return Math.max(slotWaitMillis, Math.max(coldWaitMillis(ahead, now), rateLimitWaitMillis(ahead, now)));
+    }
+
+    private double coldWaitMillis(int ahead, long now) {
+        if (!cold || now - coldUntilNanos >= 0) {
+            return 0;
         }
         double millisUntilWarm = (coldUntilNanos - now) / NANOS_PER_MILLI;
-        return Math.max(
-                slotWaitMillis, Math.min(millisUntilWarm, recentStarts.waitMillis(ahead, coldCallsPerSecond, now)));
+        return Math.min(millisUntilWarm, recentStarts.waitMillis(ahead, coldRate, now));
+    }
+
+    private double rateLimitWaitMillis(int ahead, long now) {
+        return rateLimit == null ? 0 : recentStarts.waitMillis(ahead, rateLimit, now);
+    }
+
+    /** Returns why no call can start now however many slots are free, or null. */
+    private GateRefusal findExhaustedBudget(long now) {
+        if (rateLimitWaitMillis(0, now) > 0) {
+            return GateRefusal.RATE_LIMITED;
+        }
+        return coldWaitMillis(0, now) > 0 ? GateRefusal.COLD : null;
     }
 
     /**
@@ -248,7 +287,7 @@
     public void dispatch() {
         long now = nanoTime.getAsLong();
         refuseLateCalls(now);
-        while (running() < slots && !waiting.isEmpty() && !isColdBudgetExhausted(now)) {
+        while (running() < slots && !waiting.isEmpty() && findExhaustedBudget(now) == null) {
             GateCall next = mostUrgent(now);
             waiting.remove(next);
             start(next, now);
@@ -266,7 +305,9 @@
         double aheadServiceMillis = 0;
         for (GateCall call : inOrder) {
             double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
-            double waitMillis = ahead == 0 ? 0 : waitMillis(ahead, aheadServiceMillis, now);
+            double waitMillis = ahead == 0
+                    ? Math.max(coldWaitMillis(0, now), rateLimitWaitMillis(0, now))
+                    : waitMillis(ahead, aheadServiceMillis, now);
             if (now + (waitMillis + serviceMillis / 2) * NANOS_PER_MILLI > effectiveDeadlineNanos(call)) {
                 refuse(call, GateRefusal.DEADLINE);
             } else {
@@ -298,8 +339,4 @@
     private Comparator<GateCall> orderAt(long now) {
         return Comparator.comparing(call -> call.urgency, order.at(now));
     }
-
-    private boolean isColdBudgetExhausted(long now) {
-        return cold && now - coldUntilNanos < 0 && recentStarts.startsInWindow(now) + 1 > coldCallsPerSecond;
-    }
 }
--- a/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/gate/TargetGateTestCase.java
@@ -351,6 +351,139 @@
         assertThat(gate.waitMillis(urgency(ROUTE, 1, 1_000, 5_000)), is(200L));
     }
 
+    /** Submits a call every few milliseconds, which ends before the next one, and returns the times of the starts. */
+    private List<Long> startsOfFrequentCalls(int seconds) {
+        Random random = new Random(3);
+        List<Long> starts = new ArrayList<>();
+        long endNanos = nanos.get() + TimeUnit.SECONDS.toNanos(seconds);
+        while (nanos.get() < endNanos) {
+            pass(random.nextInt(20));
+            int before = started.size();
+            gate.submit(call("c"));
+            gate.dispatch();
+            for (int i = before; i < started.size(); i++) {
+                starts.add(nanos.get());
+            }
+            endRunning();
+        }
+        return starts;
+    }
+
+    private static int mostWithin(List<Long> times, long nanos) {
+        int most = 0;
+        for (long first : times) {
+            most = Math.max(most, (int) times.stream()
+                    .filter(time -> time >= first && time - first < nanos)
+                    .count());
+        }
+        return most;
+    }
+
+    /** Guards against calls beyond the limit that a target names; here 94 calls in 4 s were allowed and 138 arrived. */
+    @Test
+    void limitsRateToWhatTheTargetNames() {
+        gate.setSlots(100);
+        startsOfFrequentCalls(2);
+        gate.setRateLimit(14.9);
+        List<Long> starts = startsOfFrequentCalls(20);
+        assertThat(mostWithin(starts, TimeUnit.SECONDS.toNanos(1)), lessThanOrEqualTo(15));
+        assertThat(mostWithin(starts, TimeUnit.SECONDS.toNanos(4)), lessThanOrEqualTo(60));
+        assertThat(starts.size(), greaterThan(260));
+        assertThat(starts.size(), lessThanOrEqualTo(298));
+    }
+
+    /** Guards against a limit that is first exceeded because the calls before it do not count. */
+    @Test
+    void callsBeforeTheLimitCount() {
+        gate.setSlots(100);
+        for (int i = 0; i < 20; i++) {
+            gate.submit(call("before " + i));
+            endRunning();
+        }
+        gate.setRateLimit(10);
+        assertThat(gate.submit(new Call("trial", 1, 500, 5_000, true)), is(GateRefusal.RATE_LIMITED));
+        pass(999);
+        assertThat(gate.waitMillis(urgency(ROUTE, 1, 500, 5_000)), is(1L));
+        pass(1);
+        assertThat(gate.submit(new Call("trial", 1, 500, 5_000, true)), nullValue());
+    }
+
+    /** Guards against a limit below one call per second that lets no call or too many through. */
+    @Test
+    void limitBelowOneCallPerSecond() {
+        gate.setSlots(100);
+        gate.setRateLimit(0.5);
+        assertThat(gate.submit(call("first")), nullValue());
+        assertThat(gate.waitMillis(urgency(ROUTE, 1, 1_000, 5_000)), is(2_000L));
+        assertThat(gate.submit(new Call("in time", 1, 1_000, 5_000, false)), nullValue());
+        assertThat(gate.submit(new Call("too late", 1, 1_000, 3_500, false)), is(GateRefusal.RATE_LIMITED));
+        pass(1_999);
+        gate.dispatch();
+        assertThat(started, contains("first"));
+        pass(1);
+        gate.dispatch();
+        assertThat(started, contains("first", "in time"));
+    }
+
+    /** Guards against a target that names 0 and receives no call that could show the end of the limit. */
+    @Test
+    void limitOfZeroLetsSomeCallsThrough() {
+        gate.setSlots(100);
+        gate.setRateLimit(0);
+        List<Long> starts = startsOfFrequentCalls(20);
+        assertThat(starts.size(), is(5));
+        assertThat(mostWithin(starts, TimeUnit.SECONDS.toNanos(4)), is(1));
+    }
+
+    /** Guards against calls that wait for a limit that has ended. */
+    @Test
+    void waitingCallsStartWhenTheLimitEnds() {
+        gate.setSlots(100);
+        gate.setRateLimit(1);
+        gate.submit(call("first"));
+        gate.submit(call("second"));
+        assertThat(started, contains("first"));
+        gate.removeRateLimit();
+        assertThat(started, contains("first", "second"));
+        assertThat(gate.waitMillis(urgency(ROUTE, 1, 1_000, 5_000)), is(0L));
+    }
+
+    /** Guards against a limit that replaces the one of a cold target, or the other way round, when it is higher. */
+    @Test
+    void lowerOfLimitAndColdStartBudgetApplies() {
+        gate.setSlots(100);
+        gate.setColdStartLimit(nanos.get() + TimeUnit.SECONDS.toNanos(10), 5);
+        gate.setRateLimit(20);
+        assertThat(mostWithin(startsOfFrequentCalls(5), TimeUnit.SECONDS.toNanos(1)), is(5));
+        assertThat(gate.submit(new Call("trial", 1, 10, 5_000, true)), is(GateRefusal.COLD));
+        gate.setRateLimit(3);
+        pass(2_000);
+        assertThat(mostWithin(startsOfFrequentCalls(2), TimeUnit.SECONDS.toNanos(1)), is(3));
+        pass(2_000);
+        assertThat(gate.isCold(), is(false));
+        assertThat(mostWithin(startsOfFrequentCalls(5), TimeUnit.SECONDS.toNanos(1)), is(3));
+    }
+
+    /** Guards against hedges that use up the limit that original calls need. */
+    @Test
+    void limitedTargetRefusesHedges() {
+        gate.setSlots(4);
+        gate.setRateLimit(10);
+        assertThat(gate.submit(hedge("hedge")), is(GateRefusal.RATE_LIMITED));
+        assertThat(gate.submit(call("first")), nullValue());
+    }
+
+    /** Guards against a waiting call that learns only at its deadline that a new limit makes it too late. */
+    @Test
+    void newLimitRefusesWaitingCallsThatItMakesLate() {
+        gate.setSlots(1);
+        Call running = call("running");
+        gate.submit(running);
+        gate.submit(new Call("waiting", 1, 500, 1_000, false));
+        gate.setRateLimit(0.5);
+        assertThat(refused, contains("waiting deadline"));
+    }
+
     /** Guards against a call that, overtaken by more urgent ones in a burst, is refused only at its deadline. */
     @Test
     void refusesOvertakenCallBeforeItsDeadline() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -9,7 +9,8 @@
  *
  * @param reason short fixed text for logs and metrics; {@code status-} and the status for a response
  * @param status HTTP status of a response, else 0
- * @param headers alternating names and values of a response, else empty
+ * @param headers alternating names and values of a response, also of one that reports that the target did not execute
+ *     the call; else empty
  * @param expectedMillis time until the response to an average call that reaches the instance now; -1 when unknown
  * @param waitMillis wait of a call of the same route before it reaches the target; -1 when unknown
  */
@@ -51,8 +52,8 @@
         return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1, -1);
     }
 
-    static CallResult shed(String reason) {
-        return new CallResult(Outcome.SHED, reason, 0, List.of(), EMPTY, -1, -1);
+    static CallResult shed(String reason, List<String> headers) {
+        return new CallResult(Outcome.SHED, reason, 0, headers, EMPTY, -1, -1);
     }
 
     static CallResult refused(GateRefusal reason) {
@@ -80,6 +81,13 @@
         return outcome == Outcome.LOST && (reason.startsWith("connection-") || reason.equals("write-failed"));
     }
 
+    /** Whether the chosen instance sent a complete response, whose headers are known. */
+    boolean isResponseOfInstance() {
+        // Nodes of the previous version send no headers with a shed call.
+        return outcome == Outcome.ANSWERED
+                || outcome == Outcome.SHED && !reason.equals(ANOTHER_INSTANCE) && !headers.isEmpty();
+    }
+
     /** Whether it is certain that the target did not and will not execute the call. */
     boolean isProvenNotExecuted() {
         return outcome == Outcome.SHED || outcome == Outcome.REFUSED;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
@@ -1,5 +1,7 @@
 package io.jaywick.node.relay;
 
+import java.util.List;
+
 /**
  * Names of the HTTP headers that have a meaning to the node; they depend on the deployment.
  *
@@ -11,6 +13,8 @@
  * @param callerService service of the node that received the call from its local caller
  * @param instanceId id of the instance that responded
  * @param coldMillis remaining time for which the instance is cold, in milliseconds
+ * @param rateLimit calls per second that the instance accepts from all nodes together, present while it has a limit;
+ *     several names of the same header
  */
 public record HeaderNames(
         String requestId,
@@ -20,4 +24,5 @@
         String notExecuted,
         String callerService,
         String instanceId,
-        String coldMillis) {}
+        String coldMillis,
+        List<String> rateLimit) {}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -1,5 +1,6 @@
 package io.jaywick.node.relay;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -22,13 +23,14 @@
  */
 final class LocalTarget implements CallTarget {
 
-    /** Interval at which queued calls are checked against their deadlines and the budget of a cold target. */
+    /** Interval at which queued calls are checked against their deadlines and the rate of starts. */
     private static final long QUEUE_CHECK_INTERVAL_MILLIS = 20;
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RelayContext context;
     private final TargetGate gate;
+    private final TargetStatements statements;
     private final TargetPool pool;
     private final TargetHealth health;
     private final CrashSuspects suspects;
@@ -42,6 +44,7 @@
     LocalTarget(RelayContext context, TargetPool pool, CrashSuspects suspects, NestedCalls nestedCalls) {
         this.context = context;
         this.gate = new TargetGate(context.runtime().nanoTime());
+        this.statements = new TargetStatements(context, gate);
         this.pool = pool;
         this.suspects = suspects;
         this.nestedCalls = nestedCalls;
@@ -87,6 +90,11 @@
         return gate.isCold();
     }
 
+    /** Calls per second that the target accepts, as it states; {@link Double#NaN} if it names no limit. */
+    double rateLimit() {
+        return statements.callsPerSecond();
+    }
+
     /** Schedules checks of the queue for as long as it is not empty. */
     private void scheduleQueueCheck() {
         if (!queueCheckScheduled && gate.waiting() > 0) {
@@ -138,6 +146,7 @@
                 current == null || !current.id().equals(entry.id()) || current.startMillis() != entry.startMillis();
         boolean isFirst = current == null;
         current = entry;
+        statements.instanceListed(entry);
         ServiceRule rule =
                 context.fleet().get().rules().service(context.settings().service());
         // Each running call uses a separate connection, and the target resets connections beyond its limit.
@@ -219,6 +228,14 @@
             startColdPeriod(millis, "health");
         }
 
+        @Override
+        public void stated(List<String> headers, long receivedNanos) {
+            String from = HopHeaders.find(headers, context.names().instanceId());
+            if (current != null) {
+                statements.observeHealth(from == null ? current.id() : from, headers, receivedNanos);
+            }
+        }
+
         @Override
         public void crashed() {
             suspects.targetCrashed();
@@ -233,6 +250,7 @@
             refusal = GateRefusal.RETRY_BUDGET;
         }
         if (refusal == null) {
+            statements.passedOn(call.rateLimit());
             refusal = gate.submit(localCall);
             scheduleQueueCheck();
             if (refusal != null) {
@@ -373,7 +391,7 @@
             reportResult(withLoadEstimate(CallResult.refused(reason), call));
         }
 
-        private void targetCallEnded(CallResult result) {
+        private void targetCallEnded(CallResult result, long endNanos) {
             runningRequests.unregister(call.requestId(), runningRequest);
             if (result.isProvenNotExecuted()) {
                 cancelReservation();
@@ -381,6 +399,9 @@
                 nestedCalls.recordExecution(call.route());
             }
             health.observe(result);
+            if (result.isResponseOfInstance()) {
+                statements.observeResponse(call.instanceId(), result.headers(), endNanos);
+            }
             CallResult reported = suspects.callEnded(call, result);
             if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
                 viewChanged();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -117,7 +117,14 @@
         long now = calls.context().nanoTime();
         boolean foreign = calls.instanceSelector().distance(instance) == Distance.OTHER_REGION;
         boolean repeated = ofRepeatedExecution || reachedTargets > 0 || choice.purpose() == AttemptPurpose.HEDGE;
-        ForwardCall call = routed.toMessage(choice, calls.nextCallId(), foreign, repeated, now, remainingMillis());
+        ForwardCall call = routed.toMessage(
+                choice,
+                calls.nextCallId(),
+                foreign,
+                repeated,
+                now,
+                remainingMillis(),
+                calls.rateLimits().textOf(instance));
         Attempt attempt = new Attempt(choice, now);
         openAttempts.add(attempt);
         calls.instanceSelector().recordAttemptStart(instance.id());
@@ -231,6 +238,9 @@
         if (ended) {
             return;
         }
+        if (result.isResponseOfInstance()) {
+            calls.rateLimits().observe(instance, result.headers());
+        }
         calls.meters().countAttempt(result.outcome(), result.reason());
         history.add(instance.id(), result);
         switch (result.outcome()) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -28,6 +28,7 @@
     private final LocalTarget localTarget;
     private final PeerCalls peerCalls;
     private final RelayMeters meters;
+    private final ObservedRateLimits rateLimits;
     private final Map<String, SmoothWeightedRoundRobin<ServiceWeight>> weightsByRoute = new HashMap<>();
     private final int peerPort;
     private final Set<OutboundCall> activeCalls = new LinkedHashSet<>();
@@ -50,6 +51,7 @@
         this.localTarget = localTarget;
         this.peerCalls = peerCalls;
         this.meters = meters;
+        this.rateLimits = new ObservedRateLimits(context.names().rateLimit());
         this.peerPort = context.settings().peerPort();
         // Other nodes may read messages about the calls of an earlier process of this host late.
         this.callIdPrefix = context.settings().host() + "-"
@@ -63,13 +65,14 @@
         return call;
     }
 
-    /** Drops the load statistics of instances that were removed. */
+    /** Drops the load statistics and the limits of instances that were removed. */
     void viewChanged() {
         Set<String> ids = new HashSet<>();
         for (Instance instance : context.fleet().get().instances()) {
             ids.add(instance.id());
         }
         instanceSelector.retain(ids);
+        rateLimits.retain(ids);
     }
 
     String chooseService(RouteRule route) {
@@ -204,6 +207,10 @@
         return hedgeDelay;
     }
 
+    ObservedRateLimits rateLimits() {
+        return rateLimits;
+    }
+
     RelayMeters meters() {
         return meters;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
@@ -69,6 +69,7 @@
      * @param foreign whether the instance is in another region
      * @param repeated whether the call was sent to another target before, or is made for a repeated execution
      * @param remainingMillis time within which the instance must respond
+     * @param rateLimit calls per second that the instance last named, or empty
      */
     ForwardCall toMessage(
             AttemptPlan.Choice choice,
@@ -76,7 +77,8 @@
             boolean foreign,
             boolean repeated,
             long nowNanos,
-            long remainingMillis) {
+            long remainingMillis,
+            String rateLimit) {
         AttemptPurpose purpose = choice.purpose();
         long elapsedMillis = (nowNanos - request.receivedNanos()) / NANOS_PER_MILLI;
         return new ForwardCall(
@@ -98,6 +100,7 @@
                 purpose != AttemptPurpose.LAST_RESORT,
                 purpose == AttemptPurpose.HEDGE,
                 foreign,
-                repeated);
+                repeated,
+                rateLimit);
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -80,6 +81,7 @@
         final long sentNanos;
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpResponse response;
+        long responseNanos;
         boolean failureWithoutId;
         CallResult result;
         ScheduledFuture<?> timeout;
@@ -224,6 +226,7 @@
         responseMatches = matches && isFinal;
         if (responseMatches) {
             exchange.response = response;
+            exchange.responseNanos = pool.nanoTime();
         } else if (isFinal) {
             pool.unmatchedResponses().recordResponse(exchange.call.requestId(), id, response);
             exchange.failureWithoutId |= id == null && response.status().codeClass() != HttpStatusClass.SUCCESS;
@@ -277,10 +280,10 @@
         }
         if (status == STATUS_MISDIRECTED) {
             pool.recordInstance(headers.get(names.instanceId()));
-            return CallResult.shed(CallResult.ANOTHER_INSTANCE);
+            return CallResult.shed(CallResult.ANOTHER_INSTANCE, List.of());
         }
         if (headers.contains(names.notExecuted())) {
-            return CallResult.shed("target-shed");
+            return CallResult.shed("target-shed", HopHeaders.copy(headers, Set.of()));
         }
         boolean isSuccess = status / STATUS_CLASS == STATUS_CLASS_SUCCESS;
         if (isSuccess && exchange.failureWithoutId) {
@@ -337,7 +340,9 @@
         } else {
             channel.close();
         }
-        finished.listener.ended(isCompletedByAnother(finished) ? CallResult.lost("malformed-answer") : finished.result);
+        finished.listener.ended(
+                isCompletedByAnother(finished) ? CallResult.lost("malformed-answer") : finished.result,
+                finished.responseNanos);
     }
 
     private boolean isCompletedByAnother(Exchange finished) {
@@ -361,7 +366,7 @@
         }
         endExchange();
         channel.close();
-        failed.listener.ended(result);
+        failed.listener.ended(result, pool.nanoTime());
     }
 
     @Override
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetHealth.java
@@ -9,7 +9,7 @@
 /**
  * Checks the health of the local target, but only when the node's view of it may be wrong: after the start of the node,
  * after a lost connection and after an evacuation. Health responses may be misleading, so only the instance id, the
- * cold time and the fact that the target responds are used.
+ * cold time, a rate limit and the fact that the target responds are used.
  */
 final class TargetHealth {
 
@@ -42,6 +42,9 @@
         /** The target states the time for which it remains cold. */
         void cold(long millis);
 
+        /** The target sent the given headers, alternating names and values, at the given monotonic time. */
+        void stated(List<String> headers, long receivedNanos);
+
         /** The target is unreachable, or another instance has taken its place. */
         void crashed();
     }
@@ -115,11 +118,12 @@
                 false,
                 false,
                 false,
-                false);
+                false,
+                "");
         pool.send(check, () -> CHECK_TIMEOUT_MILLIS, this::checkEnded);
     }
 
-    private void checkEnded(CallResult result) {
+    private void checkEnded(CallResult result, long endNanos) {
         context.runtime().loop().schedule(this::endPause, MIN_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
         if (result.reason().equals("target-down")) {
             markDown();
@@ -139,6 +143,7 @@
         }
         listener.responded(checkSentNanos);
         pool.recordInstance(instance);
+        listener.stated(result.headers(), endNanos);
         String cold = HopHeaders.find(result.headers(), pool.names().coldMillis());
         if (cold != null) {
             try {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetPool.java
@@ -73,7 +73,12 @@
     /** Receives the result of an exchange. */
     interface ResultListener {
 
-        void ended(CallResult result);
+        /**
+         * Called once at the end of the exchange.
+         *
+         * @param endNanos monotonic time at which the response began or, without a response, the exchange ended
+         */
+        void ended(CallResult result, long endNanos);
     }
 
     /** Sends a call over an idle or a new connection. A call whose connection cannot be opened was not sent. */
@@ -125,7 +130,7 @@
         void connected(ChannelFuture connect) {
             if (!connect.isSuccess()) {
                 if (!cancelled) {
-                    listener.ended(CallResult.refused("target-down"));
+                    listener.ended(CallResult.refused("target-down"), nanoTime());
                 }
                 return;
             }
@@ -135,7 +140,7 @@
                 release(connection);
             } else if (remainingMillis.getAsLong() <= 0) {
                 release(connection);
-                listener.ended(CallResult.refused("deadline"));
+                listener.ended(CallResult.refused("deadline"), nanoTime());
             } else {
                 connection.send(call, remainingMillis.getAsLong(), listener);
             }
--- a/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/peer/TcpPeerLinkTestCase.java
@@ -254,7 +254,8 @@
                 true,
                 false,
                 false,
-                false);
+                false,
+                "");
     }
 
     @Test
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
@@ -39,7 +39,8 @@
                 false,
                 false,
                 false,
-                false);
+                false,
+                "");
     }
 
     /**
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayDrainTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayDrainTestCase.java
@@ -283,7 +283,8 @@
                 false,
                 false,
                 false,
-                false);
+                false,
+                "");
     }
 
     /** Guards against a process that is still there at the end of its grace period, because a caller does not read. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -36,8 +36,16 @@
  */
 final class RelayFixture implements AutoCloseable {
 
-    static final HeaderNames NAMES =
-            new HeaderNames("Request-Id", "Deadline", "Stamp", "Expect", "Not-Executed", "Caller", "Instance", "Cold");
+    static final HeaderNames NAMES = new HeaderNames(
+            "Request-Id",
+            "Deadline",
+            "Stamp",
+            "Expect",
+            "Not-Executed",
+            "Caller",
+            "Instance",
+            "Cold",
+            List.of("Limit", "Other-Limit"));
 
     static final CallerLimits LIMITS = new CallerLimits(2_000, 10_000, 300, 5_000);
 
@@ -67,6 +75,7 @@
     private final MeterRegistry callerMeters;
     private final List<MeterRegistry> targetMeters = new ArrayList<>();
     private RuleSet published;
+    private FleetView publishedView;
     private final AtomicLong clockOffsetNanos = new AtomicLong();
     private volatile long pausedNanos;
     private volatile boolean paused;
@@ -164,6 +173,11 @@
                 .sum();
     }
 
+    /** Calls per second that the node of the first target knows as its limit; NaN when it knows none. */
+    double rateLimit() {
+        return targetMeters.get(0).get("jaywick.target.rate.limit").gauge().value();
+    }
+
     /** Number of nodes among which the caller's node divides the retry budget. */
     long nodesSharingRetryBudget() {
         return Math.round(callerMeters.get("jaywick.retry.nodes").gauge().value());
@@ -304,6 +318,7 @@
         RuleSet rules = new RuleSet(1, routes, services, LIMITS);
         published = rules;
         FleetView view = new FleetView(rules, instances, Set.of());
+        publishedView = view;
         caller.updateView(view);
         targetNode.updateView(view);
         secondNode.updateView(view);
@@ -318,6 +333,16 @@
         runtime.loop().submit(() -> {}).syncUninterruptibly();
     }
 
+    /**
+     * Publishes another instance to the node of the first target only, and then the view as before, so that the node has
+     * no response of the instance any more, as after a restart.
+     */
+    void forgetInstanceAtTargetNode() {
+        targetNode.updateView(new FleetView(published, List.of(instance("i-9", target.address(), false)), Set.of()));
+        targetNode.updateView(publishedView);
+        awaitEventLoop();
+    }
+
     /** Publishes the draining of the instance to the node of its target only. */
     void drainInViewOfTargetNode() {
         targetNode.updateView(new FleetView(published, List.of(instance(true)), Set.of()));
