--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -47,6 +47,9 @@
             "Cold",
             List.of("Limit", "Other-Limit"));
 
+    /** Number of calls that a target runs concurrently. */
+    static final int SLOTS = 4;
+
     static final CallerLimits LIMITS = new CallerLimits(2_000, 10_000, 300, 5_000);
 
     private static final System.Logger LOGGER = System.getLogger("test");
@@ -178,6 +181,11 @@
         return targetMeters.get(0).get("jaywick.target.rate.limit").gauge().value();
     }
 
+    /** Number of calls that wait at the node of the first target. */
+    int waitingCalls() {
+        return (int) targetMeters.get(0).get("jaywick.target.waiting").gauge().value();
+    }
+
     /** Number of nodes among which the caller's node divides the retry budget. */
     long nodesSharingRetryBudget() {
         return Math.round(callerMeters.get("jaywick.retry.nodes").gauge().value());
@@ -354,7 +362,7 @@
     }
 
     private static Instance instance(String id, String address, boolean draining) {
-        return new Instance(id, "other-service", address, "dc", "v1", 4, draining, 0, 1, 0, System.nanoTime());
+        return new Instance(id, "other-service", address, "dc", "v1", SLOTS, draining, 0, 1, 0, System.nanoTime());
     }
 
     /** Sends raw bytes to the caller's node and returns all received bytes until it closes the connection. */
