Send no further calls to a target that states that it leaves

A target that leaves says so in all its responses, with a header of the value 1. No code read the header, so that the target received calls until its entry was listed as draining.

The node next to the target now refuses new and queued calls as leaving from the first such response on, also of a refusal or of a health check, until another instance or start is listed at the address; calls in flight go on. The node of the target alone would not do, because it forgets the statement when it is restarted, which excuses only the calls that begin there: a node that forwarded the statement therefore leaves the instance out until its next start or the removal of its entry, also of a ranking made before. Responses of another instance (421), second copies and other values are no statement. The response is forwarded unchanged.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
@@ -15,7 +15,10 @@
     COLD,
     /** The target has received as many calls recently as the limit allows that it names. */
     RATE_LIMITED,
-    /** The target is draining or no longer listed, its data centre is evacuated, or the node is draining. */
+    /**
+     * The target is draining, has stated that it leaves or is no longer listed, its data centre is evacuated, or the node
+     * is draining.
+     */
     LEAVING,
     /** The node next to the target cannot reach it. */
     TARGET_DOWN,
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
@@ -142,7 +142,7 @@
             rankedNanos = now;
         }
         List<Instance> candidates = new ArrayList<>(ranked);
-        candidates.removeIf(instance -> excluded.contains(instance.id()));
+        candidates.removeIf(instance -> excluded.contains(instance.id()) || selector.isLeaving(instance));
         return candidates;
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -14,8 +14,8 @@
 
 /**
  * Ranks the instances of a service for one call: nearest first, because traffic between data centres is paid for, and
- * least loaded first among instances at the same distance. Draining instances, instances in evacuated data centres and
- * instances outside the home regions of the call are left out. Not thread-safe.
+ * least loaded first among instances at the same distance. Instances that drain or have stated that they leave, instances
+ * in evacuated data centres and instances outside the home regions of the call are left out. Not thread-safe.
  */
 public final class InstanceSelector {
 
@@ -35,6 +35,7 @@
     private final LongSupplier nanoTime;
     private final RandomGenerator random;
     private final Map<String, InstanceLoad> loadById = new HashMap<>();
+    private final Map<String, Long> startMillisOfLeavingById = new HashMap<>();
     private final RegionBackoff regionBackoff;
 
     public InstanceSelector(
@@ -129,9 +130,21 @@
         return nanoTime.getAsLong();
     }
 
+    /** Records that an instance has stated that it leaves; it receives no further calls until its next start. */
+    public void recordLeaving(Instance instance) {
+        startMillisOfLeavingById.put(instance.id(), instance.startMillis());
+    }
+
+    /** Returns whether an instance has stated that it leaves. */
+    boolean isLeaving(Instance instance) {
+        Long startMillis = startMillisOfLeavingById.get(instance.id());
+        return startMillis != null && startMillis == instance.startMillis();
+    }
+
     /** Returns whether an instance may receive new calls. */
     public boolean isEligible(FleetView view, Instance instance, Set<String> homeRegions) {
         return !instance.draining()
+                && !isLeaving(instance)
                 && !view.isEvacuated(instance.dataCentre())
                 && (homeRegions.isEmpty() || homeRegions.contains(region(instance)));
     }
@@ -210,9 +223,10 @@
         load(instanceId).avoid(millis, nanoTime.getAsLong());
     }
 
-    /** Discards the load of all instances other than the given ones. */
+    /** Discards the load and the statements of all instances other than the given ones. */
     public void retain(Collection<String> instanceIds) {
         loadById.keySet().retainAll(instanceIds);
+        startMillisOfLeavingById.keySet().retainAll(instanceIds);
     }
 
     private InstanceLoad load(String instanceId) {
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
@@ -89,6 +89,16 @@
         assertThat(plan.isHedged(), is(true));
     }
 
+    /** Guards against a hedge at an instance that has stated meanwhile that it leaves, in the ranking made before. */
+    @Test
+    void doesNotChooseInstancesThatLeave() {
+        AttemptPlan plan = plan(2);
+        String late =
+                plan.nextAttempt(OBJECTIVE_MILLIS, REMAINING_MILLIS).instance().id();
+        selector.recordLeaving(instance(late.equals("i-1") ? "i-2" : "i-1", "10.0.0.9", "a"));
+        assertThat(plan.nextHedge(REMAINING_MILLIS), nullValue());
+    }
+
     @Test
     void doesNotHedgeWithOneInstance() {
         AttemptPlan plan = plan(1);
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
@@ -52,6 +52,18 @@
             instance("centre", "10.0.0.2", "a1", false),
             instance("own", "10.0.0.1", "a1", false));
 
+    /** Guards against calls to an instance that has stated that it leaves, and against a next start that gets none. */
+    @Test
+    void instanceThatLeavesIsLeftOutUntilItsNextStart() {
+        Instance leaving = instance("centre", "10.0.0.2", "a1", false);
+        selector.recordLeaving(leaving);
+        assertThat(rankedIds(fullView, Set.of()), contains("own", "region", "far"));
+        Instance restarted = new Instance("centre", "s", "10.0.0.2:80", "a1", "v1", 4, false, 0, 1, 5, 0);
+        assertThat(rankedIds(view(Set.of(), restarted), Set.of()), contains("centre"));
+        selector.retain(List.of("own"));
+        assertThat(rankedIds(fullView, Set.of()), contains("own", "centre", "region", "far"));
+    }
+
     /** Guards against paid traffic between data centres while a nearer instance is available. */
     @Test
     void ranksNearestFirst() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
@@ -15,6 +15,8 @@
  * @param coldMillis remaining time for which the instance is cold, in milliseconds
  * @param rateLimit calls per second that the instance accepts from all nodes together, present while it has a limit;
  *     several names of the same header
+ * @param leaving with the value 1 in responses of an instance that accepts no further calls; several names of the same
+ *     header
  */
 public record HeaderNames(
         String requestId,
@@ -25,4 +27,24 @@
         String callerService,
         String instanceId,
         String coldMillis,
-        List<String> rateLimit) {}
+        List<String> rateLimit,
+        List<String> leaving) {
+
+    private static final String LEAVING_VALUE = "1";
+
+    /**
+     * Returns the name of the header by which an instance states that it leaves, or null if the response has no such
+     * statement.
+     *
+     * @param headers alternating names and values
+     */
+    String findLeaving(List<String> headers) {
+        for (String name : leaving) {
+            String value = HopHeaders.find(headers, name);
+            if (value != null && value.trim().equals(LEAVING_VALUE)) {
+                return name;
+            }
+        }
+        return null;
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -95,6 +95,11 @@
         return statements.callsPerSecond();
     }
 
+    /** Whether the target has stated that it leaves; it receives no further calls. */
+    boolean isLeaving() {
+        return statements.isLeaving();
+    }
+
     /** Schedules checks of the queue for as long as it is not empty. */
     private void scheduleQueueCheck() {
         if (!queueCheckScheduled && gate.waiting() > 0) {
@@ -319,7 +324,7 @@
         if (health.isDown()) {
             return GateRefusal.TARGET_DOWN;
         }
-        if (draining || chosen.draining() || view.isEvacuated(chosen.dataCentre())) {
+        if (draining || statements.isLeaving() || chosen.draining() || view.isEvacuated(chosen.dataCentre())) {
             return GateRefusal.LEAVING;
         }
         return null;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -239,7 +239,7 @@
             return;
         }
         if (result.isResponseOfInstance()) {
-            calls.rateLimits().observe(instance, result.headers());
+            calls.recordStatements(instance, result.headers());
         }
         calls.meters().countAttempt(result.outcome(), result.reason());
         history.add(instance.id(), result);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -65,6 +65,14 @@
         return call;
     }
 
+    /** Records what an instance states about itself in a response; headers alternate between name and value. */
+    void recordStatements(Instance instance, List<String> headers) {
+        rateLimits.observe(instance, headers);
+        if (context.names().findLeaving(headers) != null) {
+            instanceSelector.recordLeaving(instance);
+        }
+    }
+
     /** Drops the load statistics and the limits of instances that were removed. */
     void viewChanged() {
         Set<String> ids = new HashSet<>();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetStatements.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetStatements.java
@@ -3,11 +3,13 @@
 import java.util.List;
 
 import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.gate.GateRefusal;
 import io.jaywick.core.gate.TargetGate;
 
 /**
- * What the local target states about itself in its responses: how many calls per second it accepts. Each response to a
- * call names the limit that is in force; one without a limit ends it. A statement holds for the instance that made it.
+ * What the local target states about itself in its responses: how many calls per second it accepts, and that it leaves.
+ * Each response to a call names the limit that is in force; one without a limit ends it. A target that leaves does so
+ * until its end. A statement holds for the instance that made it.
  */
 final class TargetStatements {
 
@@ -18,6 +20,7 @@
     private final TargetGate gate;
     private String instanceId = "";
     private long startMillis;
+    private boolean leaving;
     private boolean responded;
     private long newestNanos;
     private double callsPerSecond = Double.NaN;
@@ -33,6 +36,11 @@
         return callsPerSecond;
     }
 
+    /** Whether the target has stated that it leaves. */
+    boolean isLeaving() {
+        return leaving;
+    }
+
     /** Discards the statements of another instance or of an earlier start of this one. */
     void instanceListed(Instance instance) {
         if (instance.id().equals(instanceId) && instance.startMillis() == startMillis) {
@@ -40,6 +48,7 @@
         }
         instanceId = instance.id();
         startMillis = instance.startMillis();
+        leaving = false;
         responded = false;
         removeLimit();
         loggedCallsPerSecond = Double.NaN;
@@ -53,6 +62,7 @@
      * @param receivedNanos monotonic time at which the response began; older responses than the newest are ignored
      */
     void observeResponse(String from, List<String> headers, long receivedNanos) {
+        observeLeaving(from, headers);
         if (isOutdated(from, receivedNanos)) {
             return;
         }
@@ -73,12 +83,22 @@
 
     /** Applies the response to a health check; one without a limit does not end the limit, as it may lack the header. */
     void observeHealth(String from, List<String> headers, long receivedNanos) {
+        observeLeaving(from, headers);
         StatedRateLimit limit = StatedRateLimit.find(headers, context.names().rateLimit());
         if (limit != null && !isOutdated(from, receivedNanos)) {
             observeResponse(from, headers, receivedNanos);
         }
     }
 
+    private void observeLeaving(String from, List<String> headers) {
+        String header = context.names().findLeaving(headers);
+        if (header != null && !leaving && from.equals(instanceId)) {
+            leaving = true;
+            context.log().info("local target leaves", "instance", instanceId, "header", header);
+            gate.refuseWaiting(GateRefusal.LEAVING);
+        }
+    }
+
     private boolean isOutdated(String from, long receivedNanos) {
         return !from.equals(instanceId) || responded && receivedNanos - newestNanos < 0;
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -45,7 +45,8 @@
             "Caller",
             "Instance",
             "Cold",
-            List.of("Limit", "Other-Limit"));
+            List.of("Limit", "Other-Limit"),
+            List.of("Leaving", "Other-Leaving"));
 
     /** Number of calls that a target runs concurrently. */
     static final int SLOTS = 4;
@@ -186,6 +187,11 @@
         return (int) targetMeters.get(0).get("jaywick.target.waiting").gauge().value();
     }
 
+    /** Whether the node of the first target knows that it leaves. */
+    boolean isTargetLeaving() {
+        return targetMeters.get(0).get("jaywick.target.leaving").gauge().value() > 0;
+    }
+
     /** Number of nodes among which the caller's node divides the retry budget. */
     long nodesSharingRetryBudget() {
         return Math.round(callerMeters.get("jaywick.retry.nodes").gauge().value());
