--- a/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
@@ -1,5 +1,7 @@
 package io.jaywick.node.relay;
 
+import java.util.List;
+
 /**
  * Names of the HTTP headers that have a meaning to the node; they depend on the deployment.
  *
@@ -11,6 +13,10 @@
  * @param callerService service of the node that received the call from its local caller
  * @param instanceId id of the instance that responded
  * @param coldMillis remaining time for which the instance is cold, in milliseconds
+ * @param rateLimit calls per second that the instance accepts from all nodes together, present while it has a limit;
+ *     several names of the same header
+ * @param leaving with the value 1 in responses of an instance that accepts no further calls; several names of the same
+ *     header
  */
 public record HeaderNames(
         String requestId,
@@ -20,4 +26,25 @@
         String notExecuted,
         String callerService,
         String instanceId,
-        String coldMillis) {}
+        String coldMillis,
+        List<String> rateLimit,
+        List<String> leaving) {
+
+    private static final String LEAVING_VALUE = "1";
+
+    /**
+     * Returns the name of the header by which an instance states that it leaves, or null if the response has no such
+     * statement.
+     *
+     * @param headers alternating names and values
+     */
+    String findLeaving(List<String> headers) {
+        for (String name : leaving) {
+            String value = HopHeaders.find(headers, name);
+            if (value != null && value.trim().equals(LEAVING_VALUE)) {
+                return name;
+            }
+        }
+        return null;
+    }
+}
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -81,6 +82,7 @@
         final long sentNanos;
         final ByteArrayOutputStream body = new ByteArrayOutputStream();
         HttpResponse response;
+        long responseNanos;
         boolean unidentifiedFailure;
         CallResult result;
         ScheduledFuture<?> timeout;
@@ -234,6 +236,7 @@
         responseMatches = matches && isFinal;
         if (responseMatches) {
             exchange.response = response;
+            exchange.responseNanos = pool.nanoTime();
         } else if (isFinal) {
             pool.unmatchedResponses().recordResponse(exchange.call.requestId(), id, response);
             exchange.unidentifiedFailure |=
@@ -306,10 +309,10 @@
         }
         if (status == STATUS_MISDIRECTED) {
             pool.recordInstance(headers.get(names.instanceId()));
-            return CallResult.shed(CallResult.ANOTHER_INSTANCE);
+            return CallResult.shed(CallResult.ANOTHER_INSTANCE, List.of());
         }
         if (isPromise) {
-            return CallResult.shed("target-shed");
+            return CallResult.shed("target-shed", HopHeaders.copy(headers, Set.of()));
         }
         if (isSuccess && !headers.contains(names.answerStamp()) || headers.contains(HttpHeaderNames.CONTENT_ENCODING)) {
             return CallResult.lost("unsigned-answer");
@@ -361,7 +364,9 @@
         } else {
             channel.close();
         }
-        finished.listener.ended(isCompletedByAnother(finished) ? CallResult.lost("malformed-answer") : finished.result);
+        finished.listener.ended(
+                isCompletedByAnother(finished) ? CallResult.lost("malformed-answer") : finished.result,
+                finished.responseNanos);
     }
 
     private boolean isCompletedByAnother(Exchange finished) {
@@ -390,7 +395,7 @@
         }
         endExchange();
         channel.close();
-        failed.listener.ended(result);
+        failed.listener.ended(result, pool.nanoTime());
     }
 
     @Override
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -36,8 +36,20 @@
  */
 final class RelayFixture implements AutoCloseable {
 
-    static final HeaderNames NAMES =
-            new HeaderNames("Request-Id", "Deadline", "Stamp", "Expect", "Not-Executed", "Caller", "Instance", "Cold");
+    static final HeaderNames NAMES = new HeaderNames(
+            "Request-Id",
+            "Deadline",
+            "Stamp",
+            "Expect",
+            "Not-Executed",
+            "Caller",
+            "Instance",
+            "Cold",
+            List.of("Limit", "Other-Limit"),
+            List.of("Leaving", "Other-Leaving"));
+
+    /** Number of calls that a target runs concurrently. */
+    static final int SLOTS = 4;
 
     static final CallerLimits LIMITS = new CallerLimits(2_000, 10_000, 300, 5_000);
 
@@ -67,6 +79,7 @@
     private final MeterRegistry callerMeters;
     private final List<MeterRegistry> targetMeters = new ArrayList<>();
     private RuleSet published;
+    private FleetView publishedView;
     private final AtomicLong clockOffsetNanos = new AtomicLong();
     private volatile long pausedNanos;
     private volatile boolean paused;
@@ -164,6 +177,21 @@
                 .sum();
     }
 
+    /** Calls per second that the node of the first target knows as its limit; NaN when it knows none. */
+    double rateLimit() {
+        return targetMeters.get(0).get("jaywick.target.rate.limit").gauge().value();
+    }
+
+    /** Number of calls that wait at the node of the first target. */
+    int waitingCalls() {
+        return (int) targetMeters.get(0).get("jaywick.target.waiting").gauge().value();
+    }
+
+    /** Whether the node of the first target knows that it leaves. */
+    boolean isTargetLeaving() {
+        return targetMeters.get(0).get("jaywick.target.leaving").gauge().value() > 0;
+    }
+
     /** Number of nodes among which the caller's node divides the retry budget. */
     long nodesSharingRetryBudget() {
         return Math.round(callerMeters.get("jaywick.retry.nodes").gauge().value());
@@ -189,6 +217,11 @@
         paused = true;
     }
 
+    /** Monotonic time of the nodes. */
+    long nanoTime() {
+        return runtime.nanoTime().getAsLong();
+    }
+
     /** Waits until each draining node has checked at least once more whether it may shut down. */
     void awaitDrainCheck() throws InterruptedException, ExecutionException, TimeoutException {
         CompletableFuture<Void> checked = new CompletableFuture<>();
@@ -299,6 +332,7 @@
         RuleSet rules = new RuleSet(1, routes, services, LIMITS);
         published = rules;
         FleetView view = new FleetView(rules, instances, Set.of());
+        publishedView = view;
         caller.updateView(view);
         targetNode.updateView(view);
         secondNode.updateView(view);
@@ -313,6 +347,16 @@
         runtime.loop().submit(() -> {}).syncUninterruptibly();
     }
 
+    /**
+     * Publishes another instance to the node of the first target only, and then the view as before, so that the node has
+     * no response of the instance any more, as after a restart.
+     */
+    void forgetInstanceAtTargetNode() {
+        targetNode.updateView(new FleetView(published, List.of(instance("i-9", target.address(), false)), Set.of()));
+        targetNode.updateView(publishedView);
+        awaitEventLoop();
+    }
+
     /** Publishes the draining of the instance to the node of its target only. */
     void drainInViewOfTargetNode() {
         targetNode.updateView(new FleetView(published, List.of(instance(true)), Set.of()));
@@ -324,12 +368,17 @@
     }
 
     private static Instance instance(String id, String address, boolean draining) {
-        return new Instance(id, "other-service", address, "dc", "v1", 4, draining, 0, 1, 0, System.nanoTime());
+        return new Instance(id, "other-service", address, "dc", "v1", SLOTS, draining, 0, 1, 0, System.nanoTime());
     }
 
     /** Sends raw bytes to the caller's node and returns all received bytes until it closes the connection. */
     String exchange(String bytes) throws IOException {
-        try (Socket socket = connect()) {
+        return exchange(caller, bytes);
+    }
+
+    /** Sends raw bytes to a node as a local caller and returns all received bytes until it closes the connection. */
+    static String exchange(Relay node, String bytes) throws IOException {
+        try (Socket socket = connect(node)) {
             socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
             return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
         }
@@ -345,8 +394,12 @@
     }
 
     Socket connect() throws IOException {
-        Socket socket = new Socket(
-                InetAddress.getByName(CALLER_HOST), caller.outboundAddress().getPort());
+        return connect(caller);
+    }
+
+    private static Socket connect(Relay node) throws IOException {
+        InetSocketAddress address = node.outboundAddress();
+        Socket socket = new Socket(address.getAddress(), address.getPort());
         socket.setSoTimeout((int) Duration.ofSeconds(20).toMillis());
         return socket;
     }
