Let the test of crash suspects wait until both nodes know a crash

requestThatCrashesTargetsIsNeitherRetriedAgainNorServedForEver failed at times with 502 instead of 503 for the fourth request that crashes a target, or the reverse for the third.

Cause: a node dates the crashes of a report at its arrival, and those within a second of each other count once. The test moved the clock as soon as one node had detected a crash, while its report to the other node was still on its way; that node then dated it 2.5 s late, and the next crash counted as simultaneous. On real clocks a report takes milliseconds, so the product is not changed.

Change: the gauge jaywick_target_suspect_crashes states the most crashes that are counted for one request, which also shows operators how far a request is from being refused; the test waits for it at both nodes. Its checks are the same.

--- a/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/admission/SuspectList.java
@@ -147,6 +147,11 @@
         return entries.size();
     }
 
+    /** Returns the highest number of crashes that are counted for one request. */
+    public synchronized int mostCrashes() {
+        return entries.values().stream().mapToInt(Entry::crashes).max().orElse(0);
+    }
+
     private void add(String fingerprint, Set<String> crashIds, Set<String> homeRegions, long expiresInMillis) {
         Entry known = unexpiredEntry(fingerprint);
         long nowNanos = nanoTime.getAsLong();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -150,6 +150,7 @@
         registry.gauge("jaywick.target.waiting", localTarget, LocalTarget::waiting);
         registry.gauge("jaywick.target.cold", localTarget, target -> target.isCold() ? 1 : 0);
         registry.gauge("jaywick.target.suspects", suspectList, SuspectList::size);
+        registry.gauge("jaywick.target.suspect.crashes", suspectList, SuspectList::mostCrashes);
         registry.more().counter("jaywick.target.crashes", Tags.empty(), suspects, CrashSuspects::crashCount);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/CrashSuspectsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/CrashSuspectsTestCase.java
@@ -69,9 +69,17 @@
                 .count();
     }
 
-    /** Waits until the nodes have detected the crashes, restarts the targets and calls until each of them serves again. */
-    private void recover(int detectedCrashes) throws IOException {
-        for (int i = 0; fixture.detectedCrashes() < detectedCrashes; i++) {
+    /**
+     * Waits until the crashes are detected and known to both nodes, restarts the targets and calls until each of them
+     * serves again. A node counts a crash when it learns of it: if the clock moved before, the next crash would seem to
+     * happen at the same time.
+     *
+     * @param countedCrashes crashes without those at the same time as another one
+     */
+    private void recover(int detectedCrashes, int countedCrashes) throws IOException {
+        for (int i = 0;
+                fixture.detectedCrashes() < detectedCrashes || fixture.knownSuspectCrashes() < countedCrashes;
+                i++) {
             assertThat("calls until the crash is detected", i, lessThan(MAX_CALLS));
             call("/safe/" + i);
         }
@@ -100,15 +108,15 @@
     void requestThatCrashesTargetsIsNeitherRetriedAgainNorServedForEver() throws IOException {
         assertThat(call(POISON), startsWith("HTTP/1.1 502 "));
         assertThat("first attempt and retry", poisonsReceived(), is(2L));
-        recover(2);
+        recover(2, 1);
 
         assertThat(call(POISON), startsWith("HTTP/1.1 502 "));
         assertThat("a suspect is not retried", poisonsReceived(), is(3L));
-        recover(3);
+        recover(3, 2);
 
         assertThat(call(POISON), startsWith("HTTP/1.1 502 "));
         assertThat("third crash at another time", poisonsReceived(), is(4L));
-        recover(4);
+        recover(4, 3);
 
         String refused = call(POISON);
         assertThat(refused, startsWith("HTTP/1.1 503 "));
@@ -124,7 +132,7 @@
     @Test
     void suspectIsNotHedged() throws Exception {
         assertThat(call(POISON), startsWith("HTTP/1.1 502 "));
-        recover(2);
+        recover(2, 1);
         CountDownLatch release = new CountDownLatch(1);
         for (FakeTarget target : targets()) {
             target.script((request, out) -> {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -123,6 +123,15 @@
                 .sum();
     }
 
+    /** The most crashes of one request that every node of a target knows. */
+    int knownSuspectCrashes() {
+        return targetMeters.stream()
+                .mapToInt(meters -> (int)
+                        meters.get("jaywick.target.suspect.crashes").gauge().value())
+                .min()
+                .orElseThrow();
+    }
+
     /** Number of responses of one kind that the nodes of the targets could not match to a call. */
     double unmatchedResponses(String kind) {
         return targetMeters.stream()
