--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -152,6 +152,7 @@
         registry.gauge("jaywick.target.rate.limit", localTarget, LocalTarget::rateLimit);
         registry.gauge("jaywick.target.leaving", localTarget, target -> target.isLeaving() ? 1 : 0);
         registry.gauge("jaywick.target.suspects", suspectList, SuspectList::size);
+        registry.gauge("jaywick.target.suspect.crashes", suspectList, SuspectList::mostCrashes);
         registry.more().counter("jaywick.target.crashes", Tags.empty(), suspects, CrashSuspects::crashCount);
         registry.gauge("jaywick.target.connections", pool, TargetPool::openConnections);
     }
