Do not parse the empty rate limit that most calls pass on

Each call without a limit, that is nearly every call, cost an exception at the node of its target. No change of behaviour; TargetStatementsTestCase covers both cases.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetStatements.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetStatements.java
@@ -110,8 +110,11 @@
      * @param text calls per second, or empty
      */
     void passedOn(String text) {
+        if (responded || text.isEmpty()) {
+            return;
+        }
         double passedOnCallsPerSecond = StatedRateLimit.parse(text);
-        if (!responded && !Double.isNaN(passedOnCallsPerSecond)) {
+        if (!Double.isNaN(passedOnCallsPerSecond)) {
             setLimit(passedOnCallsPerSecond, "");
         }
     }
