Order what a node knows of the store by era

Cause: SourceReplica, its peers and their deltas ordered everything by revision alone. The revisions of a store that returns from a copy are lower than those of the nodes, so that they refused what they read and watched after a revision that the store does not have (410), without a pause. Where the store had passed that revision, the watch was accepted and the changes below it were never seen. The class of fault is an order of versions that outlives the history it belongs to.

Change: SourceKnowledge holds what a node knows, for the watch, the complete reading, the peers and a fresh start: a position of era and revision, the listed entries, and the states of former eras that are used in place of listed ones. How long they are used is decided by their content (StoreEntryRetention): rules by their version, targets by start and reports, evacuations by time. A node that starts after the return gets the retained states from its upstream or, without one, from peers. A watch that is rejected again after a reading waits for a back-off. Nodes that do not know eras get changes by revision, as before, and are no upstream of those that do.

--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -48,6 +48,15 @@
         return true;
     }
 
+    /** Replaces the content of the active version. Returns false, without any effect, if it is another version. */
+    public boolean rewriteRules(RuleSet rewritten) {
+        if (rewritten.version() != rules.version()) {
+            return false;
+        }
+        rules = rewritten;
+        return true;
+    }
+
     /** Adds or replaces an instance that the platform lists. */
     public void put(Instance instance) {
         retainedUntilNanos.remove(instance.id());
--- a/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceReplicaTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceReplicaTestCase.java
@@ -10,6 +10,7 @@
 import io.jaywick.core.message.SourceEntry;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -42,7 +43,12 @@
     }
 
     private static SourceQuery query(SourceReplica querying) {
-        return new SourceQuery(querying.revision(), WAIT_MILLIS, false);
+        return query(querying, false);
+    }
+
+    private static SourceQuery query(SourceReplica querying, boolean whole) {
+        SourceVersion held = new SourceVersion(querying.era(), querying.revision(), querying.revision(), 0, -1);
+        return new SourceQuery(querying.revision(), WAIT_MILLIS, whole, held);
     }
 
     private List<SourceEntry> updateFollower() {
@@ -110,7 +116,7 @@
         SourceState update = upstream.changesSince(query(follower), 0);
         assertThrows(IllegalArgumentException.class, () -> follower.applyState(update));
         assertThat(follower.revision(), is(3L));
-        SourceState whole = upstream.changesSince(new SourceQuery(follower.revision(), WAIT_MILLIS, true), 0);
+        SourceState whole = upstream.changesSince(query(follower, true), 0);
         assertThat(follower.applyState(whole).get(0).value(), is(large(2)));
     }
 
@@ -176,8 +182,7 @@
             }
         }
         for (int i = 1; i < nodes.size(); i++) {
-            SourceState update =
-                    nodes.get(0).changesSince(new SourceQuery(nodes.get(i).revision(), WAIT_MILLIS, true), 0);
+            SourceState update = nodes.get(0).changesSince(query(nodes.get(i), true), 0);
             if (update != null) {
                 nodes.get(i).applyState(update);
             }
@@ -194,7 +199,7 @@
             try {
                 querying.applyState(update);
             } catch (IllegalArgumentException e) {
-                querying.applyState(queried.changesSince(new SourceQuery(before, WAIT_MILLIS, true), 0));
+                querying.applyState(queried.changesSince(query(querying, true), 0));
             }
         }
         assertThat(querying.revision() >= before, is(true));
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerSource.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerSource.java
@@ -3,15 +3,16 @@
 import java.util.concurrent.CompletableFuture;
 
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 
 /** Access to the published state of the source through other nodes. Used on the event loop of the relay. */
 public interface PeerSource {
 
     /**
-     * Queries one peer for state newer than a revision. The result is null when there is no peer or the peer holds
+     * Queries one peer for state newer than a version. The result is null when there is no peer or the peer holds
      * nothing newer; it fails when the peer does not reply.
      */
-    CompletableFuture<SourceState> query(long revision);
+    CompletableFuture<SourceState> query(SourceVersion held);
 
     /**
      * Waits for newer state at the node that this one follows, for a fraction of the maximum propagation time. The
@@ -19,7 +20,7 @@
      *
      * @param completeEntries whether complete entries are required, because an incremental update could not be applied
      */
-    CompletableFuture<FollowResult> follow(long revision, boolean completeEntries);
+    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries);
 
     /** Sends newer state to the nodes that follow this one. */
     void notifyChanged();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -226,6 +226,11 @@
             return provider == null ? null : provider.newerThan(query);
         }
 
+        @Override
+        public boolean isBehind(SourceQuery query) {
+            return provider != null && provider.isBehind(query);
+        }
+
         @Override
         public boolean isSourceReachable() {
             return provider != null && provider.isSourceReachable();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -17,6 +17,7 @@
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.InstanceSelector;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -102,8 +103,8 @@
     }
 
     @Override
-    public CompletableFuture<FollowResult> follow(long revision, boolean completeEntries) {
-        return follower.follow(revision, completeEntries);
+    public CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries) {
+        return follower.follow(held, completeEntries);
     }
 
     @Override
@@ -122,12 +123,12 @@
     }
 
     @Override
-    public CompletableFuture<SourceState> query(long revision) {
+    public CompletableFuture<SourceState> query(SourceVersion held) {
         String host = choosePeer();
         if (host == null) {
             return CompletableFuture.completedFuture(null);
         }
-        return link.request(host + ":" + peerPort, new SourceQuery(revision, 0, true))
+        return link.request(host + ":" + peerPort, new SourceQuery(held.revision(), 0, true, held))
                 .thenApply((Message reply) -> {
                     if (reply instanceof SourceState state) {
                         lastInformedHost = host;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -3,12 +3,14 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
 
+import io.jaywick.core.distribution.SourceKnowledge;
 import io.jaywick.core.distribution.UpstreamSelector;
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 import io.jaywick.core.message.UpToDate;
 
 /**
@@ -59,13 +61,13 @@
     }
 
     /** Queries the upstream; the result has no host when this node must query the source itself. */
-    CompletableFuture<FollowResult> follow(long revision, boolean completeEntries) {
+    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries) {
         CompletableFuture<FollowResult> result = new CompletableFuture<>();
-        follow(revision, completeEntries, result);
+        follow(held, completeEntries, result);
         return result;
     }
 
-    private void follow(long revision, boolean completeEntries, CompletableFuture<FollowResult> result) {
+    private void follow(SourceVersion held, boolean completeEntries, CompletableFuture<FollowResult> result) {
         String host =
                 failures >= MAX_FAILURES ? null : upstreams.select(view.get().instances());
         logIfChanged(host);
@@ -75,12 +77,12 @@
             return;
         }
         long queryWaitMillis = failures == 0 ? waitMillis : PROBE_WAIT_MILLIS;
-        CompletableFuture<Message> reply =
-                link.request(host + ":" + peerPort, new SourceQuery(revision, queryWaitMillis, completeEntries));
+        CompletableFuture<Message> reply = link.request(
+                host + ":" + peerPort, new SourceQuery(held.revision(), queryWaitMillis, completeEntries, held));
         Runnable cancelTimer = scheduler.schedule(() -> reply.cancel(false), queryWaitMillis + REPLY_SLACK_MILLIS);
         reply.whenComplete((message, failure) -> {
             cancelTimer.run();
-            if (message instanceof SourceState || message instanceof UpToDate) {
+            if (message instanceof UpToDate || message instanceof SourceState state && isUsable(state, held)) {
                 failures = 0;
                 upstreams.recordSuccess(host);
                 result.complete(new FollowResult(host, message instanceof SourceState state ? state : null));
@@ -93,11 +95,16 @@
                         failure == null ? message.getClass().getSimpleName() : failure.toString());
                 failures++;
                 upstreams.recordFailure(host);
-                follow(revision, completeEntries, result);
+                follow(held, completeEntries, result);
             }
         });
     }
 
+    /** A node that does not know eras may hold what the source has lost. */
+    private static boolean isUsable(SourceState state, SourceVersion held) {
+        return state.version() != null && !SourceKnowledge.isOlderEra(state.version(), held);
+    }
+
     private void logIfChanged(String host) {
         String upstream = host == null ? "source" : host;
         if (!upstream.equals(followedHost)) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQueryHandler.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQueryHandler.java
@@ -12,8 +12,8 @@
 
 /**
  * Handles the queries of the nodes that follow this one. A query is answered when newer state is available, at the end
- * of its wait, or at once when this node cannot reach the source or is draining, so that the follower chooses another
- * node. While it is not known whether this node can reach the source, a query waits on: an answer without newer state
+ * of its wait, or at once when this node cannot reach the source, is behind the follower or is draining, so that the
+ * follower chooses another node. While it is not known whether this node can reach the source, a query waits on: an answer without newer state
  * would keep the follower at a node that receives no changes.
  */
 final class SourceQueryHandler {
@@ -58,7 +58,8 @@
         if (query.waitMillis() <= 0) {
             return CompletableFuture.completedFuture(NO_UPDATE);
         }
-        if (draining || !provider.isSourceReachable() || waiting.size() >= MAX_WAITING) {
+        boolean canWait = !draining && provider.isSourceReachable() && !provider.isBehind(query);
+        if (!canWait || waiting.size() >= MAX_WAITING) {
             return CompletableFuture.completedFuture(new Busy(RETRY_AFTER_MILLIS));
         }
         PendingQuery pending = new PendingQuery(query);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceStateProvider.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceStateProvider.java
@@ -9,6 +9,9 @@
     /** Returns the state that the querying peer lacks, or null when it lacks nothing. */
     SourceState newerThan(SourceQuery query);
 
+    /** Whether the query shows that the source has returned from a copy since this node read it. */
+    boolean isBehind(SourceQuery query);
+
     /** Whether the last query was answered by the source, or by a node that can reach it. */
     boolean isSourceReachable();
 
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
@@ -8,19 +8,23 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import io.jaywick.core.distribution.UpstreamSelector;
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 import io.jaywick.core.message.UpToDate;
 import io.jaywick.core.placement.InstanceSelector;
 import io.jaywick.core.rules.RuleSet;
 import org.junit.jupiter.api.Test;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.nullValue;
 
 class SourceExchangeTestCase {
 
@@ -83,7 +87,8 @@
     }
 
     private static long query(SourceExchange exchange, long knownRevision) {
-        SourceState state = exchange.query(knownRevision).join();
+        SourceState state = exchange.query(new SourceVersion(1, knownRevision, knownRevision, 0, -1))
+                .join();
         return state == null ? knownRevision : state.revision();
     }
 
@@ -93,6 +98,43 @@
         boolean refused = number < HOSTS_EACH || number % 3 == 0;
         return refused || knownRevision >= published
                 ? new UpToDate(0, "")
-                : new SourceState(published, List.of(), List.of(), 0);
+                : new SourceState(
+                        published,
+                        List.of(),
+                        List.of(),
+                        0,
+                        new SourceVersion(1, published, published, 0, -1),
+                        List.of());
+    }
+
+    /**
+     * Guards against an upstream that holds what the source has lost: one that does not know eras, or that has missed
+     * the return of the source from a copy. Its state is refused, and asking it again would never end.
+     */
+    @Test
+    void upstreamWithoutTheEraOfTheFollowerCountsAsFailed() {
+        Map<String, String> regions = new HashMap<>();
+        FleetView view = fleet(regions);
+        SourceVersion held = new SourceVersion(3, 40, 40, 2, 90);
+        for (SourceVersion upstreamVersion : new SourceVersion[] {null, new SourceVersion(2, 90, 90, 0, -1)}) {
+            for (int i = 0; i < DATA_CENTRES * HOSTS_EACH; i++) {
+                List<String> asked = new ArrayList<>();
+                PeerLink link = (address, message) -> {
+                    asked.add(address);
+                    return CompletableFuture.completedFuture(
+                            new SourceState(90, List.of(), List.of(), 0, upstreamVersion, List.of()));
+                };
+                SourceFollower follower = new SourceFollower(
+                        link,
+                        () -> view,
+                        new UpstreamSelector(host(i), "dc" + i / HOSTS_EACH, regions, () -> 0L),
+                        7_000,
+                        2_000,
+                        (task, millis) -> () -> {},
+                        new RelayLog(System.getLogger("test"), () -> 0L));
+                assertThat(follower.follow(held, false).join().host(), nullValue());
+                assertThat(asked.size(), is((int) asked.stream().distinct().count()));
+            }
+        }
     }
 }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceQueryHandlerTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceQueryHandlerTestCase.java
@@ -8,6 +8,7 @@
 import io.jaywick.core.message.Message;
 import io.jaywick.core.message.SourceQuery;
 import io.jaywick.core.message.SourceState;
+import io.jaywick.core.message.SourceVersion;
 import io.jaywick.core.message.UpToDate;
 import org.junit.jupiter.api.Test;
 
@@ -17,7 +18,7 @@
 
 class SourceQueryHandlerTestCase {
 
-    private static final SourceQuery QUERY = new SourceQuery(1, 100, false);
+    private static final SourceQuery QUERY = new SourceQuery(1, 100, false, new SourceVersion(2, 1, 1, 0, -1));
 
     private final List<Runnable> timers = new ArrayList<>();
     private final SourceQueryHandler handler = new SourceQueryHandler(new Provider(), (task, millis) -> {
@@ -25,6 +26,7 @@
         return () -> timers.remove(task);
     });
     private boolean confirmed = true;
+    private long era = 2;
 
     private final class Provider implements SourceStateProvider {
 
@@ -33,6 +35,11 @@
             return null;
         }
 
+        @Override
+        public boolean isBehind(SourceQuery query) {
+            return query.version().era() > era;
+        }
+
         @Override
         public boolean isSourceReachable() {
             return true;
@@ -48,6 +55,13 @@
         List.copyOf(timers).forEach(Runnable::run);
     }
 
+    /** Guards against a follower that waits at a node which still holds what the source had before it lost it. */
+    @Test
+    void followerInNewerEraIsSentElsewhere() {
+        era = 1;
+        assertThat(handler.handle(QUERY).join(), instanceOf(Busy.class));
+    }
+
     @Test
     void waitEndsWithoutNewerState() {
         CompletableFuture<Message> reply = handler.handle(QUERY);
