Take an upstream that names no era for one that holds none

What callers would see: in a fleet of two versions, a node of this one that follows a node of the previous one gets UpToDate for ever after the store has returned from a copy, and no change.

Cause: only the state that an upstream sends was checked for its era, not the answer that there is nothing new.

Change: UpToDate names the era in answers to source queries; an older or missing one counts as a failure of the upstream.

upstreamWithoutTheEraOfTheFollowerCountsAsFailed covers both answers.

--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
@@ -305,8 +305,9 @@
      *
      * @param graceMillis how long entries that vanished may still reappear after an outage of the source, in
      *     milliseconds
+     * @param ageMillis time since the source last answered, in milliseconds
      */
-    public SourceState changesSince(SourceQuery query, long graceMillis) {
+    public SourceState changesSince(SourceQuery query, long graceMillis, long ageMillis) {
         SourceVersion own = version();
         SourceVersion held = query.version();
         if (!isLoaded() || held != null && isOlderEra(own, held)) {
@@ -328,7 +329,8 @@
                 state == null ? List.of() : state.keys(),
                 graceMillis,
                 own,
-                isBetterInformed ? retainedEntries() : List.of());
+                isBetterInformed ? retainedEntries() : List.of(),
+                ageMillis);
     }
 
     private List<RetainedEntry> retainedEntries() {
--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceReplica.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceReplica.java
@@ -212,7 +212,8 @@
                 keys,
                 graceMillis,
                 new SourceVersion(era, revision, revision, 0, NO_REVISION),
-                List.of());
+                List.of(),
+                0);
     }
 
     private SourceEntry withDelta(SourceEntry entry, long heldEra, long heldRevision) {
--- a/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceKnowledgeTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceKnowledgeTestCase.java
@@ -57,7 +57,7 @@
     }
 
     private List<SourceEntry> updateFollower() {
-        return follower.applyState(upstream.changesSince(queryOf(follower), 0));
+        return follower.applyState(upstream.changesSince(queryOf(follower), 0, 0));
     }
 
     private static List<String> texts(List<SourceEntry> entries) {
@@ -85,7 +85,7 @@
         upstream.applyRead(1, 90, List.of(entry("config", 80, large(1))));
         updateFollower();
         upstream.applyRead(2, 95, List.of(entry("config", 95, large(2))));
-        SourceState update = upstream.changesSince(queryOf(follower), 0);
+        SourceState update = upstream.changesSince(queryOf(follower), 0, 0);
         assertThat(update.changed().get(0).value().length, lessThan(200));
         follower.applyState(update);
         assertThat(follower.version().era(), is(2L));
@@ -97,7 +97,7 @@
         upstream.applyRead(1, 90, List.of(entry("config", 80, large(1))));
         follower.applyRead(2, 90, List.of(entry("config", 80, large(3))));
         upstream.applyRead(3, 95, List.of(entry("config", 95, large(2))));
-        SourceState update = upstream.changesSince(queryOf(follower), 0);
+        SourceState update = upstream.changesSince(queryOf(follower), 0, 0);
         assertThrows(IllegalArgumentException.class, () -> follower.applyState(update));
         assertThat(follower.version(), is(new SourceVersion(2, 90, 90, 0, -1)));
     }
@@ -107,7 +107,13 @@
     void incompleteStateOfANewEraChangesNothing() {
         follower.applyRead(1, 90, List.of(entry("a", 80, "1")));
         SourceState incomplete = new SourceState(
-                40, List.of(entry("a", 30, "1")), List.of("a", "b"), 0, new SourceVersion(2, 40, 40, 1, 90), List.of());
+                40,
+                List.of(entry("a", 30, "1")),
+                List.of("a", "b"),
+                0,
+                new SourceVersion(2, 40, 40, 1, 90),
+                List.of(),
+                0);
         assertThrows(IllegalArgumentException.class, () -> follower.applyState(incomplete));
         assertThat(follower.version().era(), is(1L));
     }
@@ -116,10 +122,10 @@
     @Test
     void stateOfAnOlderEraChangesNothing() {
         upstream.applyRead(1, 90, List.of(entry("a", 80, "1")));
-        SourceState old = upstream.changesSince(queryOf(follower), 0);
+        SourceState old = upstream.changesSince(queryOf(follower), 0, 0);
         follower.applyRead(2, 40, List.of(entry("a", 30, "0")));
         assertThat(follower.applyState(old), empty());
-        assertThat(upstream.changesSince(queryOf(follower), 0), nullValue());
+        assertThat(upstream.changesSince(queryOf(follower), 0, 0), nullValue());
         assertThat(follower.applyRead(1, 95, List.of(entry("a", 95, "2"))), empty());
     }
 
@@ -160,7 +166,7 @@
         upstream.applyRead(2, 40, copy);
         assertThat(texts(follower.applyRead(2, 40, copy)), is(List.of("a=0", "c=1")));
         assertThat(texts(updateFollower()), is(List.of("a=1", "c=removed")));
-        assertThat("sent once", upstream.changesSince(queryOf(follower), 0), nullValue());
+        assertThat("sent once", upstream.changesSince(queryOf(follower), 0, 0), nullValue());
         assertThat(texts(follower.applyChanges(41, List.of(entry("a", 41, "2")))), is(List.of("a=2")));
     }
 
@@ -169,7 +175,7 @@
     void writtenEntryIsNotReplacedByTheRetainedOneOfAPeer() {
         upstream.applyRead(1, 90, List.of(entry("a", 80, "1")));
         upstream.applyRead(2, 40, List.of(entry("a", 30, "0")));
-        SourceState late = upstream.changesSince(queryOf(follower), 0);
+        SourceState late = upstream.changesSince(queryOf(follower), 0, 0);
         follower.applyRead(2, 40, List.of(entry("a", 30, "0")));
         follower.applyChanges(41, List.of(entry("a", 41, "2")));
         assertThat(follower.applyState(late), empty());
@@ -190,10 +196,10 @@
     void peerThatDoesNotKnowErasReceivesChangesByRevision() {
         upstream.applyRead(2, 40, List.of(entry("a", 30, "0")));
         upstream.applyChanges(41, List.of(entry("b", 41, "1")));
-        SourceState update = upstream.changesSince(new SourceQuery(40, WAIT_MILLIS, false, null), 0);
+        SourceState update = upstream.changesSince(new SourceQuery(40, WAIT_MILLIS, false, null), 0, 0);
         assertThat(update.changed(), hasSize(1));
-        assertThat(upstream.changesSince(new SourceQuery(41, WAIT_MILLIS, false, null), 0), nullValue());
-        SourceState old = new SourceState(50, List.of(entry("b", 50, "2")), List.of(), 0, null, List.of());
+        assertThat(upstream.changesSince(new SourceQuery(41, WAIT_MILLIS, false, null), 0, 0), nullValue());
+        SourceState old = new SourceState(50, List.of(entry("b", 50, "2")), List.of(), 0, null, List.of(), 0);
         assertThat(follower.applyState(old), empty());
     }
 
@@ -210,7 +216,7 @@
         upstream.applyChanges(42, List.of(removal("a", 41), entry("b", 42, "0")));
         assertThat(follower.applyRead(2, 42, List.of(entry("b", 42, "0"))), empty());
         assertThat(texts(updateFollower()), is(List.of("a=removed", "b=0")));
-        assertThat(upstream.changesSince(queryOf(follower), 0), nullValue());
+        assertThat(upstream.changesSince(queryOf(follower), 0, 0), nullValue());
     }
 
     /** Guards against a node that claims to have seen the changes between two complete reads of one era. */
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/Gossiper.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/Gossiper.java
@@ -116,7 +116,7 @@
         if (peer != null) {
             compareVersion(announce.revision(), announce.hash(), peer);
         }
-        return new UpToDate(state.tracker.revision(), state.tracker.hash());
+        return new UpToDate(state.tracker.revision(), state.tracker.hash(), 0, 0);
     }
 
     /** Sends a digest to an address whose server is not known. */
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PullServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PullServer.java
@@ -29,7 +29,7 @@
     Message handle(PullRequest request) {
         long revision = state.tracker.revision();
         if (revision == 0 || request.haveRevision() >= revision) {
-            return new UpToDate(revision, state.tracker.hash());
+            return new UpToDate(revision, state.tracker.hash(), 0, 0);
         }
         if (!request.full()) {
             DeltaReply delta = state.tracker.deltaFrom(request.haveRevision(), request.haveHash());
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -21,7 +21,7 @@
  */
 final class PeerCalls {
 
-    private static final UpToDate ACKNOWLEDGEMENT = new UpToDate(0, "");
+    private static final UpToDate ACKNOWLEDGEMENT = new UpToDate(0, "", 0, 0);
 
     private final PeerLink link;
     private final CallTarget localTarget;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -226,6 +226,16 @@
             return provider == null ? null : provider.newerThan(query);
         }
 
+        @Override
+        public long era() {
+            return provider == null ? 0 : provider.era();
+        }
+
+        @Override
+        public long ageMillis() {
+            return provider == null ? Long.MAX_VALUE : provider.ageMillis();
+        }
+
         @Override
         public boolean isBehind(SourceQuery query) {
             return provider != null && provider.isBehind(query);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -82,10 +82,10 @@
         Runnable cancelTimer = scheduler.schedule(() -> reply.cancel(false), queryWaitMillis + REPLY_SLACK_MILLIS);
         reply.whenComplete((message, failure) -> {
             cancelTimer.run();
-            if (message instanceof UpToDate || message instanceof SourceState state && isUsable(state, held)) {
+            if (isUsable(message, held)) {
                 failures = 0;
                 upstreams.recordSuccess(host);
-                result.complete(new FollowResult(host, message instanceof SourceState state ? state : null));
+                result.complete(toResult(host, message));
             } else {
                 log.debug(
                         "followed node unavailable",
@@ -100,9 +100,18 @@
         });
     }
 
+    private static FollowResult toResult(String host, Message reply) {
+        return reply instanceof SourceState state
+                ? new FollowResult(host, state, state.ageMillis())
+                : new FollowResult(host, null, ((UpToDate) reply).ageMillis());
+    }
+
     /** A node that does not know eras may hold what the source has lost. */
-    private static boolean isUsable(SourceState state, SourceVersion held) {
-        return state.version() != null && !SourceKnowledge.isOlderEra(state.version(), held);
+    private static boolean isUsable(Message reply, SourceVersion held) {
+        return reply instanceof UpToDate unchanged && unchanged.era() >= held.era()
+                || reply instanceof SourceState state
+                        && state.version() != null
+                        && !SourceKnowledge.isOlderEra(state.version(), held);
     }
 
     private void logIfChanged(String host) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQueryHandler.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceQueryHandler.java
@@ -27,8 +27,6 @@
     /** Time after which a rejected follower may query this node again. */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    private static final UpToDate NO_UPDATE = new UpToDate(0, "");
-
     private final SourceStateProvider provider;
     private final TaskScheduler scheduler;
     private final List<PendingQuery> waiting = new ArrayList<>();
@@ -56,7 +54,7 @@
             return CompletableFuture.completedFuture(newer);
         }
         if (query.waitMillis() <= 0) {
-            return CompletableFuture.completedFuture(NO_UPDATE);
+            return CompletableFuture.completedFuture(noUpdate());
         }
         boolean canWait = !draining && provider.isSourceReachable() && !provider.isBehind(query);
         if (!canWait || waiting.size() >= MAX_WAITING) {
@@ -71,10 +69,14 @@
     private void endWait(PendingQuery pending) {
         pending.waitEnded = true;
         if (provider.isSourceConfirmed()) {
-            reply(pending, NO_UPDATE);
+            reply(pending, noUpdate());
         }
     }
 
+    private UpToDate noUpdate() {
+        return new UpToDate(0, "", provider.era(), provider.ageMillis());
+    }
+
     private void reply(PendingQuery pending, Message answer) {
         if (waiting.remove(pending)) {
             pending.cancelTimer.run();
@@ -96,7 +98,7 @@
     void notifySourceConfirmed() {
         for (PendingQuery pending : List.copyOf(waiting)) {
             if (pending.waitEnded) {
-                reply(pending, NO_UPDATE);
+                reply(pending, noUpdate());
             }
         }
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceStateProvider.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceStateProvider.java
@@ -9,6 +9,12 @@
     /** Returns the state that the querying peer lacks, or null when it lacks nothing. */
     SourceState newerThan(SourceQuery query);
 
+    /** Returns the era of the source that this node holds. */
+    long era();
+
+    /** Returns the milliseconds since the source last answered this node, or the one that it follows. */
+    long ageMillis();
+
     /** Whether the query shows that the source has returned from a copy since this node read it. */
     boolean isBehind(SourceQuery query);
 
--- a/jaywick-node/src/test/java/io/jaywick/node/frame/FrameCodecTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/frame/FrameCodecTestCase.java
@@ -123,7 +123,7 @@
     @Test
     void adjacentVersionsAreCompatible() {
         FrameCodec next = new FrameCodec(FrameCodec.CURRENT_VERSION + 1);
-        UpToDate message = new UpToDate(1, "a");
+        UpToDate message = new UpToDate(1, "a", 0, 0);
         assertThat(
                 codec.decode(payload(next.encode(next.minVersion(), 1, message)))
                         .message(),
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
@@ -97,14 +97,15 @@
         int number = Integer.parseInt(host.substring(host.lastIndexOf('.') + 1)) - 1;
         boolean refused = number < HOSTS_EACH || number % 3 == 0;
         return refused || knownRevision >= published
-                ? new UpToDate(0, "")
+                ? new UpToDate(0, "", 1, 0)
                 : new SourceState(
                         published,
                         List.of(),
                         List.of(),
                         0,
                         new SourceVersion(1, published, published, 0, -1),
-                        List.of());
+                        List.of(),
+                        0);
     }
 
     /**
@@ -116,13 +117,17 @@
         Map<String, String> regions = new HashMap<>();
         FleetView view = fleet(regions);
         SourceVersion held = new SourceVersion(3, 40, 40, 2, 90);
-        for (SourceVersion upstreamVersion : new SourceVersion[] {null, new SourceVersion(2, 90, 90, 0, -1)}) {
+        SourceVersion formerVersion = new SourceVersion(2, 90, 90, 0, -1);
+        for (Message reply : List.of(
+                new SourceState(90, List.of(), List.of(), 0, null, List.of(), 0),
+                new SourceState(90, List.of(), List.of(), 0, formerVersion, List.of(), 0),
+                new UpToDate(0, "", 0, 0),
+                new UpToDate(0, "", 2, 0))) {
             for (int i = 0; i < DATA_CENTRES * HOSTS_EACH; i++) {
                 List<String> asked = new ArrayList<>();
                 PeerLink link = (address, message) -> {
                     asked.add(address);
-                    return CompletableFuture.completedFuture(
-                            new SourceState(90, List.of(), List.of(), 0, upstreamVersion, List.of()));
+                    return CompletableFuture.completedFuture(reply);
                 };
                 SourceFollower follower = new SourceFollower(
                         link,
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceQueryHandlerTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceQueryHandlerTestCase.java
@@ -35,6 +35,16 @@
             return null;
         }
 
+        @Override
+        public long era() {
+            return era;
+        }
+
+        @Override
+        public long ageMillis() {
+            return 0;
+        }
+
         @Override
         public boolean isBehind(SourceQuery query) {
             return query.version().era() > era;
