Let retries for running requests take precedence in the retry budget

Cause: a request that runs and then fails because a call of its own found no capacity has used a slot and is answered with 500. Retries of such calls competed with all others for the node's part of the budget.

Change: these retries may use 0.4 of the ratio, other retries and hedges 0.3 as before. All withdrawals count in one sum, of which the calls of repeated executions may use 0.5, so that the bound over the fleet is the one that held before. Metrics: withdrawn-for-running, denied-for-running.

Result: RetryBudgetFleetTestCase, whose nested calls now use the new kind of withdrawal, holds, also in the new test in which clients and running requests retry at one service. With the behaviour of before, retriesForRunningRequestsFindBudgetThatOthersMayNotUse and retriesOfCallsForRunningRequestsTakePrecedence failed.

--- a/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/FleetRetryBudget.java
@@ -10,17 +10,29 @@
  * This node's part of a retry budget that all nodes share without communicating. In any window the fleet may retry, for
  * each service, a ratio of its original calls and a fixed allowance in addition. A node uses only a fraction of the
  * ratio of its own original calls, and an equal part of a fraction of the allowance. Calls made by a repeated execution
- * count as retries at the services called; the node beside the target that executes it withdraws them.
+ * count as retries at the services called; the node beside the target that executes it withdraws them. All kinds of
+ * withdrawals count in one sum, and each kind is refused from a sum of its own on, so that the highest of these bounds
+ * all of them: a kind that takes precedence leaves less for the others and never adds to the budget.
  *
  * <p>Fractions of a retry are rounded up or down at random, so that many nodes with few calls neither exceed the budget
  * nor leave it unused. Not thread-safe.
  */
 public final class FleetRetryBudget {
 
-    /** The remainder of the ratio is left for the calls of repeated executions. */
+    /** The remainder of the ratio is left for calls of running requests and of repeated executions. */
     private static final double RATIO_FRACTION = 0.3;
 
-    /** The remainder covers what nodes withdrew before a restart and no longer count. */
+    /**
+     * For retries of calls made for a running request: without one, the request fails after it has used a slot. What is
+     * left between the fractions is theirs even if other retries have used up their part. Less than the whole fraction,
+     * because a service that only running requests call would have nothing left for the calls of repeated executions.
+     */
+    private static final double RATIO_FRACTION_FOR_RUNNING_REQUESTS = 0.4;
+
+    /**
+     * All withdrawals together. The remainder covers what nodes withdrew before a restart and no longer count, so that
+     * no kind of withdrawal may use more than this.
+     */
     private static final double RATIO_FRACTION_WITH_NESTED_CALLS = 0.5;
 
     /** The remainder covers retries that wait at a target and arrive later than others. */
@@ -79,6 +91,15 @@
         return tryWithdraw(service, 1, nodes, RATIO_FRACTION);
     }
 
+    /**
+     * Withdraws one retry of a call that is made for a running request; returns false when the budget is exhausted.
+     *
+     * @param nodes number of nodes that share the allowance
+     */
+    public boolean tryWithdrawForRunningRequest(String service, int nodes) {
+        return tryWithdraw(service, 1, nodes, RATIO_FRACTION_FOR_RUNNING_REQUESTS);
+    }
+
     /**
      * Withdraws the calls that a repeated execution makes to a service; returns false, and withdraws none, when the
      * budget does not cover all.
--- a/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/FleetRetryBudgetTestCase.java
@@ -59,6 +59,29 @@
         }
     }
 
+    /**
+     * Guards against running requests that fail because retries of other calls have used up the budget while a service
+     * sheds half of its calls (srv_grey).
+     */
+    @Test
+    void retriesForRunningRequestsFindBudgetThatOthersMayNotUse() {
+        FleetRetryBudget budget = budget(0);
+        for (int i = 0; i < 1_000; i++) {
+            budget.recordOriginalCall("s");
+        }
+        while (budget.tryWithdraw("s", 1)) {
+            // Exhausts the part of the retries of other calls.
+        }
+        int precedence = 0;
+        while (budget.tryWithdrawForRunningRequest("s", 1)) {
+            precedence++;
+        }
+        assertThat(precedence, is(20));
+        assertThat(budget.tryWithdraw("s", 1), is(false));
+        assertThat("calls of repeated executions", budget.tryWithdrawNestedCalls("s", 20, 1), is(true));
+        assertThat("half of the ratio", budget.tryWithdrawNestedCalls("s", 1, 1), is(false));
+    }
+
     /** Guards against a budget that is exhausted by hedges which every instance refused. */
     @Test
     void refundsCallsThatWereNotSent() {
--- a/jaywick-core/src/test/java/io/jaywick/core/retry/RetryBudgetFleetTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/retry/RetryBudgetFleetTestCase.java
@@ -41,11 +41,16 @@
         void serve(String service) {
             rule.request(service, millis());
             budget.recordOriginalCall(service);
-            retry(service);
+            for (int attempt = 1; attempt < MAX_ATTEMPTS && budget.tryWithdraw(service, nodeCount.get()); attempt++) {
+                rule.repeat(service, millis());
+            }
         }
 
-        private void retry(String service) {
-            for (int attempt = 1; attempt < MAX_ATTEMPTS && budget.tryWithdraw(service, nodeCount.get()); attempt++) {
+        /** Retries a call of a running request, of which every attempt fails. */
+        private void retryForRunningRequest(String service) {
+            for (int attempt = 1;
+                    attempt < MAX_ATTEMPTS && budget.tryWithdrawForRunningRequest(service, nodeCount.get());
+                    attempt++) {
                 rule.repeat(service, millis());
             }
         }
@@ -72,10 +77,11 @@
                 nestedCalls.recordCall("r", "called");
                 if (repeated) {
                     rule.repeat("called", millis());
-                    retry("called");
                 } else {
-                    serve("called");
+                    rule.request("called", millis());
+                    budget.recordOriginalCall("called");
                 }
+                retryForRunningRequest("called");
             }
             nestedCalls.recordExecution("r");
             return true;
@@ -192,6 +198,27 @@
         assertRuleHolds("s");
     }
 
+    /**
+     * Guards against repeats beyond the budget at a service that clients and running requests call (srv_grey at a shared
+     * service), where each kind of withdrawal uses its whole part while nodes restart.
+     */
+    @Test
+    void ruleHoldsWhenClientsAndRunningRequestsRetryAtOneService() {
+        for (int requestsPerSecond : new int[] {20, 60, 200}) {
+            Runnable request = () -> {
+                anyNode().serve("called");
+                anyNode().serveWithNestedCalls(2);
+            };
+            run(20_000, requestsPerSecond, request);
+            restartAll(NODES);
+            run(6_000, requestsPerSecond, request);
+            restartAll(NODES);
+            run(20_000, requestsPerSecond, request);
+        }
+        assertRuleHolds("calling");
+        assertRuleHolds("called");
+    }
+
     /**
      * Guards against repeats beyond the budget when a third of the targets crash and all nodes restart twice, while
      * executions call another service twice: each of these alone was within the budget.
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -7,6 +7,7 @@
 
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
+import io.jaywick.core.gate.RunningRequests.RunningRequest;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.placement.AttemptPlan;
 import io.jaywick.core.placement.AttemptPurpose;
@@ -41,7 +42,7 @@
     private final List<Attempt> openAttempts = new ArrayList<>();
     private RoutedCall routed;
     private AttemptPlan plan;
-    private boolean ofRepeatedExecution;
+    private RunningRequest parent;
     private int reachedTargets;
     private ScheduledFuture<?> hedgeTimer;
     private ScheduledFuture<?> deadlineTimer;
@@ -80,7 +81,7 @@
         routed = RoutedCall.of(calls, request, requestId, route);
         plan = new AttemptPlan(
                 calls.instanceSelector(), calls::fleet, routed.service(), route.name(), route.homeRegions());
-        ofRepeatedExecution = calls.recordCall(requestId, routed.service());
+        parent = calls.recordCall(requestId, routed.service());
         deadlineTimer = calls.context()
                 .runtime()
                 .loop()
@@ -116,6 +117,7 @@
         Instance instance = choice.instance();
         long now = calls.context().nanoTime();
         boolean foreign = calls.instanceSelector().distance(instance) == Distance.OTHER_REGION;
+        boolean ofRepeatedExecution = parent != null && parent.repeated();
         boolean repeated = ofRepeatedExecution || reachedTargets > 0 || choice.purpose() == AttemptPurpose.HEDGE;
         ForwardCall call = routed.toMessage(
                 choice,
@@ -352,7 +354,7 @@
                         || routed.route().idempotent())
                 && !result.reason().equals(CallResult.SUSPECT_LOST)
                 && canRetry()
-                && calls.retryBudget().tryWithdraw(routed.service());
+                && tryWithdrawRetry();
         if (allowed) {
             calls.context().log().callEvent("call retried", "requestId", requestId, "reason", result.reason());
             attemptNext();
@@ -361,6 +363,12 @@
         }
     }
 
+    private boolean tryWithdrawRetry() {
+        return parent == null
+                ? calls.retryBudget().tryWithdraw(routed.service())
+                : calls.retryBudget().tryWithdrawForRunningRequest(routed.service());
+    }
+
     private void deadlinePassed() {
         if (ended) {
             return;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -108,18 +108,17 @@
      * Counts an original call at the retry budget, unless it is made for a repeated execution at the local target,
      * which has reserved it.
      *
-     * @return whether the call is made for a repeated execution
+     * @return the request at the local target for which the call is made, or null
      */
-    boolean recordCall(String requestId, String service) {
+    RunningRequest recordCall(String requestId, String service) {
         RunningRequest parent = localTarget.runningRequests().parentOf(requestId);
         if (parent != null) {
             localTarget.nestedCalls().recordCall(parent.route(), service);
         }
-        boolean isOfRepeatedExecution = parent != null && parent.repeated();
-        if (!isOfRepeatedExecution) {
+        if (parent == null || !parent.repeated()) {
             retryBudget.recordOriginalCall(service);
         }
-        return isOfRepeatedExecution;
+        return parent;
     }
 
     CallTarget targetOf(Instance instance) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SharedRetryBudget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SharedRetryBudget.java
@@ -56,6 +56,13 @@
         return allowed;
     }
 
+    /** Withdraws one retry of a call made for a running request; returns false when the budget is exhausted. */
+    boolean tryWithdrawForRunningRequest(String service) {
+        boolean allowed = budget.tryWithdrawForRunningRequest(service, nodeCount());
+        meters.countBudgetEvents(service, allowed ? "withdrawn-for-running" : "denied-for-running", 1);
+        return allowed;
+    }
+
     /** Returns the last withdrawal, for a call that was not sent. */
     void refund(String service) {
         refund(service, 1);
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RetryBudgetRelayTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RetryBudgetRelayTestCase.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
@@ -119,4 +120,27 @@
             assertThat(arrivals("/safe/1"), is(2L * i));
         }
     }
+
+    /**
+     * Guards against retries of calls made for running requests that are bounded as those of other calls (srv_grey at the
+     * service called): the requests fail with 500 after they have used a slot.
+     */
+    @Test
+    void retriesOfCallsForRunningRequestsTakePrecedence() throws IOException {
+        for (FakeTarget target : List.of(fixture.target, fixture.secondTarget)) {
+            Relay node = target == fixture.target ? fixture.targetNode : fixture.secondNode;
+            target.script((request, out) -> {
+                if (request.requestLineAndHeaders().contains("/nested")) {
+                    return shed(request, out);
+                }
+                call(
+                        node.outboundAddress(),
+                        request("POST", "/unsafe/nested", request.header("Request-Id") + ".1", ""));
+                return FakeTarget.write(out, FakeTarget.response(request, 500, ""));
+            });
+        }
+        assertThat(fixture.exchange(request("POST", "/unsafe/outer", "a", "")), startsWith("HTTP/1.1 500 "));
+        assertThat(fixture.retryBudgetEventsOfTargets("withdrawn-for-running"), is(1L));
+        assertThat(fixture.retryBudgetEventsOfTargets("withdrawn"), is(0L));
+    }
 }
