Refuse executions whose calls would find no capacity

Cause: a request that runs and then fails because the service that it calls has no capacity wastes a slot and cannot be reported as not executed.

Change: the node beside the target learns the proportion of such calls that are refused for lack of capacity, by service called and priority of the execution, and admits a share of the executions (NestedCallAdmission). The share falls by a factor at most once in two intervals and rises by a constant, down to a floor. Where a lower share does not lower the proportion of refused calls, because targets shed at random or other callers cause the load, it is restored and not reduced for some seconds. A refused execution is reported as nested-capacity; the caller's node tries one other instance.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateRefusal.java
@@ -28,6 +28,8 @@
     SUSPECT,
     /** The call is a repeated one, and the retry budgets do not cover the calls that its execution makes. */
     RETRY_BUDGET,
+    /** Calls that such executions make have recently found no capacity at the service called. */
+    NESTED_CAPACITY,
     /** The deadline has passed, or the queued call can no longer meet it. */
     DEADLINE;
 
--- a/jaywick-core/src/main/java/io/jaywick/core/retry/NestedCalls.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/retry/NestedCalls.java
@@ -57,6 +57,16 @@
         return executionsByRoute.computeIfAbsent(route, name -> new Executions());
     }
 
+    /** Returns the mean number of calls that an execution of a route makes, by service; empty while none is known. */
+    public Map<String, Double> callsPerExecution(String route) {
+        Executions executions = executions(route);
+        Map<String, Double> calls = new HashMap<>();
+        if (executions.count > 0) {
+            executions.callsByService.forEach((service, count) -> calls.put(service, count / executions.count));
+        }
+        return calls;
+    }
+
     /**
      * Withdraws the calls that a repeated execution is expected to make. Fractions of a call are rounded up or down at
      * random.
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResponses.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResponses.java
@@ -15,6 +15,8 @@
 
     private static final long MAX_RETRY_AFTER_MILLIS = 1_000;
 
+    private static final String TARGET_ANSWERED = "target-answered";
+
     private final Random random;
     private boolean mayHaveExecuted;
     private CallResult failure;
@@ -52,9 +54,14 @@
         return reason;
     }
 
+    /** Whether the last response built is one that a target gave. */
+    boolean isOfTarget() {
+        return reason.equals(TARGET_ANSWERED);
+    }
+
     /** Returns the response that a target gave. */
     ClientResponse ofTarget(CallResult result) {
-        reason = "target-answered";
+        reason = TARGET_ANSWERED;
         return new ClientResponse(result.status(), result.headers(), result.body(), 0);
     }
 
@@ -70,7 +77,7 @@
      */
     ClientResponse failure(String nodeReason) {
         if (failure != null) {
-            reason = "target-answered";
+            reason = TARGET_ANSWERED;
             return new ClientResponse(failure.status(), failure.headers(), failure.body(), 0);
         }
         reason = nodeReason;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -35,19 +35,26 @@
     private final TargetHealth health;
     private final CrashSuspects suspects;
     private final NestedCalls nestedCalls;
+    private final NestedAdmission nestedAdmission;
     private final RunningRequests runningRequests = new RunningRequests();
     private Instance current;
     private boolean queueCheckScheduled;
     private boolean evacuated;
     private boolean draining;
 
-    LocalTarget(RelayContext context, TargetPool pool, CrashSuspects suspects, NestedCalls nestedCalls) {
+    LocalTarget(
+            RelayContext context,
+            TargetPool pool,
+            CrashSuspects suspects,
+            NestedCalls nestedCalls,
+            NestedAdmission nestedAdmission) {
         this.context = context;
         this.gate = new TargetGate(context.runtime().nanoTime());
         this.statements = new TargetStatements(context, gate);
         this.pool = pool;
         this.suspects = suspects;
         this.nestedCalls = nestedCalls;
+        this.nestedAdmission = nestedAdmission;
         this.health = new TargetHealth(context, pool, new HealthListener());
     }
 
@@ -78,6 +85,10 @@
         return nestedCalls;
     }
 
+    NestedAdmission nestedAdmission() {
+        return nestedAdmission;
+    }
+
     int running() {
         return gate.running();
     }
@@ -251,6 +262,9 @@
     public PendingCall send(ForwardCall call, Consumer<CallResult> onResult) {
         GateRefusal refusal = findRefusal(call);
         LocalCall localCall = new LocalCall(call, onResult);
+        if (refusal == null && !nestedAdmission.tryAdmit(call)) {
+            refusal = GateRefusal.NESTED_CAPACITY;
+        }
         if (refusal == null && !localCall.reserveNestedCalls()) {
             refusal = GateRefusal.RETRY_BUDGET;
         }
@@ -274,6 +288,7 @@
         CallResult result = CallResult.refused(refusal);
         return switch (refusal) {
             case LEAVING, UNKNOWN_INSTANCE, RETRY_BUDGET -> result;
+            case NESTED_CAPACITY -> result.withLoadEstimate(-1, nestedAdmission.retryMillis(call));
             case SUSPECT -> result.withLoadEstimate(-1, suspects.blockedMillis(call));
             default -> withLoadEstimate(result, call);
         };
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -12,6 +12,7 @@
 import io.jaywick.core.placement.AttemptPlan;
 import io.jaywick.core.placement.AttemptPurpose;
 import io.jaywick.core.placement.Distance;
+import io.jaywick.core.retry.NestedCallAdmission;
 import io.jaywick.core.rules.RouteRule;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -30,6 +31,15 @@
     /** Time for which an instance is avoided after it refused a call as draining or unknown. */
     private static final long DRAINING_AVOID_MILLIS = 1_000;
 
+    /**
+     * A call that an instance refuses because calls made for it would find no capacity is tried at one other, whose calls
+     * may go elsewhere. Trying all of them would cost the processors more than the call is worth.
+     */
+    private static final int MAX_NESTED_REFUSALS = 2;
+
+    /** Reason of a call that no instance accepts. */
+    private static final String OVERLOADED = "overloaded";
+
     private static final int STATUS_SERVER_FAILURE = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -44,6 +54,9 @@
     private AttemptPlan plan;
     private RunningRequest parent;
     private int reachedTargets;
+    private int nestedRefusals;
+    private boolean wasRefused;
+    private boolean wasShed;
     private ScheduledFuture<?> hedgeTimer;
     private ScheduledFuture<?> deadlineTimer;
     private boolean ended;
@@ -107,7 +120,7 @@
                 plan.nextAttempt(routed.route().objectiveMillis() - elapsedMillis(), remainingMillis());
         if (choice == null) {
             responses.recordExpectedWait(plan.minWaitMillis());
-            respond(responses.failure(plan.isExhausted() ? "no-instance" : "overloaded"));
+            respond(responses.failure(plan.isExhausted() ? "no-instance" : OVERLOADED));
         } else {
             startAttempt(choice);
         }
@@ -249,6 +262,9 @@
             case ANSWERED -> handleAnswered(attempt, result);
             case REFUSED -> handleRefused(attempt, result);
             case SHED -> {
+                // Only a refusal after the last shed attempt shows that the nodes found no capacity.
+                wasRefused = false;
+                wasShed |= !result.reason().equals(CallResult.ANOTHER_INSTANCE);
                 recordTargetReached(instance);
                 retryOrFail(result);
             }
@@ -311,16 +327,23 @@
             }
             case "suspect" -> {
                 // The other instances of the service refuse the request as well, or would crash.
-                if (attempt.purpose() == AttemptPurpose.HEDGE) {
-                    calls.retryBudget().refund(routed.service());
-                }
-                if (openAttempts.isEmpty()) {
-                    respond(responses.failure(result.reason()));
-                }
+                endAttempts(attempt, result);
                 return;
             }
-            default -> calls.instanceSelector()
-                    .recordSaturated(instance, routed.route().name());
+            case "nested-capacity" -> {
+                wasRefused = true;
+                nestedRefusals++;
+                plan.exclude(instance.id());
+                if (nestedRefusals >= MAX_NESTED_REFUSALS) {
+                    endAttempts(attempt, result);
+                    return;
+                }
+            }
+            default -> {
+                wasRefused = true;
+                calls.instanceSelector()
+                        .recordSaturated(instance, routed.route().name());
+            }
         }
         if (openAttempts.isEmpty()) {
             attemptNext();
@@ -329,6 +352,16 @@
         }
     }
 
+    /** Makes no further attempt after a refused one. */
+    private void endAttempts(Attempt refused, CallResult result) {
+        if (refused.purpose() == AttemptPurpose.HEDGE) {
+            calls.retryBudget().refund(routed.service());
+        }
+        if (openAttempts.isEmpty()) {
+            respond(responses.failure(result.reason()));
+        }
+    }
+
     private void replaceRefusedHedge() {
         AttemptPlan.Choice choice = plan.nextHedge(remainingMillis());
         if (choice == null) {
@@ -419,6 +452,7 @@
             return;
         }
         finish();
+        recordNestedOutcome(response);
         long millis = elapsedMillis();
         calls.meters().recordResponse(routeName(), response.status(), millis);
         if (response.status() >= STATUS_SERVER_FAILURE) {
@@ -448,6 +482,29 @@
         onResponse.accept(response);
     }
 
+    /**
+     * Records whether a call made for a running request found capacity. Failures of targets, nodes and links do not
+     * count, because fewer executions would not prevent them.
+     */
+    private void recordNestedOutcome(ClientResponse response) {
+        if (parent == null) {
+            return;
+        }
+        if (responses.isOfTarget()) {
+            recordNestedOutcome(NestedCallAdmission.Outcome.ANSWERED);
+        } else if (response.status() == ClientResponse.SERVICE_UNAVAILABLE) {
+            if (wasRefused || responses.reason().equals(OVERLOADED)) {
+                recordNestedOutcome(NestedCallAdmission.Outcome.REFUSED);
+            } else if (wasShed) {
+                recordNestedOutcome(NestedCallAdmission.Outcome.SHED);
+            }
+        }
+    }
+
+    private void recordNestedOutcome(NestedCallAdmission.Outcome outcome) {
+        calls.recordNestedOutcome(parent, routed.service(), outcome);
+    }
+
     private String routeName() {
         return routed == null ? "" : routed.route().name();
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -14,6 +14,7 @@
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.InstanceSelector;
 import io.jaywick.core.retry.HedgeDelay;
+import io.jaywick.core.retry.NestedCallAdmission;
 import io.jaywick.core.routing.SmoothWeightedRoundRobin;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.ServiceWeight;
@@ -121,6 +122,11 @@
         return parent;
     }
 
+    /** Records the end of a call made for a request that runs at the local target. */
+    void recordNestedOutcome(RunningRequest parent, String service, NestedCallAdmission.Outcome outcome) {
+        localTarget.nestedAdmission().recordOutcome(parent, service, outcome);
+    }
+
     CallTarget targetOf(Instance instance) {
         return instanceSelector.distance(instance) == Distance.SAME_INSTANCE
                 ? localTarget
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -107,7 +107,9 @@
         handlers.register(SuspectReport.class, message -> suspectReporter.handle((SuspectReport) message));
         RelayMeters meters = new RelayMeters(registry);
         this.retryBudget = new SharedRetryBudget(context, meters);
-        this.localTarget = new LocalTarget(context, pool, suspects, new NestedCalls(retryBudget, runtime.random()));
+        NestedCalls nestedCalls = new NestedCalls(retryBudget, runtime.random());
+        this.localTarget = new LocalTarget(
+                context, pool, suspects, nestedCalls, new NestedAdmission(context, meters, nestedCalls));
         this.peerCalls = new PeerCalls(link, localTarget, log);
         peerCalls.register(handlers);
         handlers.register(
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -4,8 +4,11 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Supplier;
 
+import io.jaywick.core.retry.NestedCallAdmission;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
@@ -18,6 +21,8 @@
     private final Map<String, Timer> latencies = new HashMap<>();
     private final Map<String, Counter> attempts = new HashMap<>();
     private final Map<String, Counter> budgetEvents = new HashMap<>();
+    private final Map<String, Counter> nestedCalls = new HashMap<>();
+    private final Map<String, Counter> refusedExecutions = new HashMap<>();
     private final Counter cancelled;
     private final Counter hedged;
 
@@ -69,6 +74,34 @@
                 .increment(count);
     }
 
+    /** Counts a call made for a running request, by whether it found capacity at the service called. */
+    void countNestedCall(String service, NestedCallAdmission.Outcome outcome) {
+        nestedCalls
+                .computeIfAbsent(
+                        service + " " + outcome,
+                        key -> registry.counter(
+                                "jaywick.nested.calls",
+                                "service",
+                                service,
+                                "outcome",
+                                outcome.name().toLowerCase(Locale.ROOT)))
+                .increment();
+    }
+
+    /** Counts an execution that was refused because its calls would find no capacity. */
+    void countRefusedExecution(String route) {
+        refusedExecutions
+                .computeIfAbsent(route, key -> registry.counter("jaywick.nested.executions.refused", "route", route))
+                .increment();
+    }
+
+    /** Shows the admitted share of the executions that call a service. */
+    void registerNestedShare(String service, Supplier<Number> share) {
+        Gauge.builder("jaywick.nested.admitted.share", share)
+                .tag("service", service)
+                .register(registry);
+    }
+
     void countHedged() {
         hedged.increment();
     }
