Derive attempts in other regions from the times of the call

Cause: with a constant penalty of 1,000 ms, a last-resort attempt in another region never pays off for a call with a deadline of 400 to 1,500 ms, and in a region with four or more instances no trial attempt leaves it.

Change: with a deadline up to 1.5 s, 50 ms suffice when the own region is expected to miss the objective by more than that; from 2.5 s on the penalty is 1,000 ms as before, and in between it rises evenly (CallTimes). When the own region is expected to miss the deadline, 50 ms suffice for any call if the other region meets it. During a back-off from that region the penalty stays 1,000 ms. The last trial attempt of a call with a shorter deadline goes to another region when the own one refused the others for lack of capacity and no back-off runs. The tests of the former penalty state a deadline of 3 s and hold as they were.

Result: with the former rule, callWithShortDeadlineThatWouldBeLateGoesToAnotherRegion, callThatItsRegionAnswersTooLateGoesToAnotherRegion and lastTrialAttemptGoesToAnotherRegionUnlessItIsBackingOff failed.

--- a/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
@@ -38,6 +38,7 @@
     private final Set<String> excluded = new HashSet<>();
     private final Set<String> attempted = new HashSet<>();
     private int trialAttempts;
+    private long deadlineMillis = -1;
     private int hedgeAttempts;
     private List<Instance> ranked = List.of();
     private FleetView rankedView;
@@ -74,8 +75,20 @@
      * @param remainingMillis remaining time until the deadline
      */
     public Choice nextAttempt(long objectiveMillis, long remainingMillis) {
+        deadlineMillis = Math.max(deadlineMillis, remainingMillis);
+        CallTimes times = new CallTimes(deadlineMillis, objectiveMillis, remainingMillis);
         List<Instance> candidates = candidates();
         exhausted = candidates.isEmpty();
+        if (times.isShort() && trialAttempts == MAX_TRIAL_ATTEMPTS - 1 && hasOwnRegionRefusedTrials(candidates)) {
+            long objectiveThereMillis = objectiveMillis - (long) CallTimes.OTHER_REGION_COST_MILLIS;
+            for (Instance instance : candidates) {
+                if (selector.distance(instance) == Distance.OTHER_REGION
+                        && selector.canAnswerWithin(instance, route, objectiveThereMillis)) {
+                    trialAttempts++;
+                    return choose(instance, AttemptPurpose.TRIAL);
+                }
+            }
+        }
         if (trialAttempts < MAX_TRIAL_ATTEMPTS) {
             for (Instance instance : candidates) {
                 if (!refusedBy.contains(instance.id()) && selector.canAnswerWithin(instance, route, objectiveMillis)) {
@@ -87,7 +100,7 @@
         candidates.removeIf(instance -> lastResorts.contains(instance.id()));
         // A call that no instance can answer in time is refused at once, and the caller receives a retry time.
         candidates.removeIf(instance -> isTooLate(instance, remainingMillis));
-        Instance lastResort = selector.chooseLastResort(fleet.get(), candidates);
+        Instance lastResort = selector.chooseLastResort(fleet.get(), candidates, route, times);
         if (lastResort == null || lastResorts.size() >= MAX_LAST_RESORT_ATTEMPTS) {
             return null;
         }
@@ -95,6 +108,18 @@
         return choose(lastResort, AttemptPurpose.LAST_RESORT);
     }
 
+    /**
+     * Whether every trial attempt was refused for lack of capacity in the own region. Instances that refused for another
+     * reason, or have received the call, are excluded and therefore no candidates.
+     */
+    private boolean hasOwnRegionRefusedTrials(List<Instance> candidates) {
+        long refusals = candidates.stream()
+                .filter(instance ->
+                        refusedBy.contains(instance.id()) && selector.distance(instance) != Distance.OTHER_REGION)
+                .count();
+        return refusals >= trialAttempts;
+    }
+
     private boolean isTooLate(Instance instance, long remainingMillis) {
         double waitMillis = selector.waitMillis(instance, route);
         if (waitMillis <= remainingMillis) {
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -20,14 +20,11 @@
 public final class InstanceSelector {
 
     /**
-     * A last-resort attempt is made in another data centre or region only if its answer is expected sooner by this
-     * much, because that traffic is paid for. A trial attempt has found no spare slot in the other region before, so
-     * that the call would probably be late there as well and displace calls of that region.
+     * A last-resort attempt is made in another data centre only if its answer is expected sooner by this much, because
+     * that traffic is paid for. For another region see {@link CallTimes}.
      */
     private static final double OTHER_DATA_CENTRE_PENALTY_MILLIS = 12;
 
-    private static final double OTHER_REGION_PENALTY_MILLIS = 1_000;
-
     private final String host;
     private final String dataCentre;
     private final String region;
@@ -62,8 +59,12 @@
         long now = nanoTime.getAsLong();
         return withinMillis > 0
                 && load(instance.id()).waitMillis(route, now) <= withinMillis
-                && (distance(instance) != Distance.OTHER_REGION
-                        || !regionBackoff.isBackingOff(region(instance), instance.service(), route, now));
+                && !isBackingOff(instance, route, now);
+    }
+
+    private boolean isBackingOff(Instance instance, String route, long now) {
+        return distance(instance) == Distance.OTHER_REGION
+                && regionBackoff.isBackingOff(region(instance), instance.service(), route, now);
     }
 
     /** Records that an instance refused a call because it was at capacity; in another region this starts a back-off. */
@@ -110,7 +111,7 @@
                 scored.add(new ScoredInstance(
                         instance,
                         distance(instance),
-                        load.isAvoided(now) || view.isSuperseded(instance),
+                        isUnreliable(view, instance, now),
                         load.score(now) + random.nextDouble()));
             }
         }
@@ -165,15 +166,17 @@
      *
      * @return null when there are no candidates
      */
-    public Instance chooseLastResort(FleetView view, List<Instance> candidates) {
+    Instance chooseLastResort(FleetView view, List<Instance> candidates, String route, CallTimes times) {
         long now = nanoTime.getAsLong();
+        double ownRegionMillis = ownRegionMillis(view, candidates, now);
         Instance best = null;
         boolean bestUnreliable = false;
         double bestMillis = 0;
         for (Instance instance : candidates) {
             InstanceLoad load = load(instance.id());
-            boolean unreliable = load.isAvoided(now) || view.isSuperseded(instance);
-            double millis = load.score(now) + distancePenaltyMillis(instance);
+            boolean unreliable = isUnreliable(view, instance, now);
+            double millis =
+                    load.score(now) + distancePenaltyMillis(instance, load.score(now), ownRegionMillis, route, times);
             if (best == null || (unreliable == bestUnreliable ? millis < bestMillis : bestUnreliable)) {
                 best = instance;
                 bestUnreliable = unreliable;
@@ -183,14 +186,41 @@
         return best;
     }
 
-    private double distancePenaltyMillis(Instance instance) {
+    /** Returns the shortest expected time until an answer in the own region, or infinity without a usable instance. */
+    private double ownRegionMillis(FleetView view, List<Instance> candidates, long now) {
+        double shortest = Double.POSITIVE_INFINITY;
+        for (Instance instance : candidates) {
+            if (distance(instance) != Distance.OTHER_REGION && !isUnreliable(view, instance, now)) {
+                shortest = Math.min(shortest, load(instance.id()).score(now));
+            }
+        }
+        return shortest;
+    }
+
+    private boolean isUnreliable(FleetView view, Instance instance, long now) {
+        return load(instance.id()).isAvoided(now) || view.isSuperseded(instance);
+    }
+
+    private double distancePenaltyMillis(
+            Instance instance, double expectedMillis, double ownRegionMillis, String route, CallTimes times) {
         return switch (distance(instance)) {
             case SAME_INSTANCE, SAME_DATA_CENTRE -> 0;
             case SAME_REGION -> OTHER_DATA_CENTRE_PENALTY_MILLIS;
-            case OTHER_REGION -> OTHER_REGION_PENALTY_MILLIS;
+            case OTHER_REGION -> otherRegionPenaltyMillis(instance, expectedMillis, ownRegionMillis, route, times);
         };
     }
 
+    /**
+     * A region that has just refused calls of the route would answer late as well, whatever it reported last, and the
+     * call would displace calls of that region.
+     */
+    private double otherRegionPenaltyMillis(
+            Instance instance, double expectedMillis, double ownRegionMillis, String route, CallTimes times) {
+        return isBackingOff(instance, route, nanoTime.getAsLong())
+                ? CallTimes.MAX_PENALTY_MILLIS
+                : times.otherRegionPenaltyMillis(ownRegionMillis, expectedMillis);
+    }
+
     public void recordAttemptStart(String instanceId) {
         load(instanceId).recordAttemptStart();
     }
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/AttemptPlanTestCase.java
@@ -172,4 +172,61 @@
         assertThat(plan.isExhausted(), is(false));
         assertThat(plan.minWaitMillis(), is(3 * REMAINING_MILLIS));
     }
+
+    /** Returns the regions' instances at which a call that every instance refuses makes trial attempts. */
+    private List<String> refusedTrials(FleetView view, long remainingMillis) {
+        AttemptPlan plan = new AttemptPlan(selector, () -> view, "s", ROUTE, Set.of());
+        List<String> trials = new ArrayList<>();
+        AttemptPlan.Choice choice = plan.nextAttempt(OBJECTIVE_MILLIS, remainingMillis);
+        while (choice != null && choice.purpose() == AttemptPurpose.TRIAL) {
+            trials.add(choice.instance().dataCentre());
+            plan.recordRefusal(choice.instance().id());
+            selector.recordSaturated(choice.instance(), ROUTE);
+            choice = plan.nextAttempt(OBJECTIVE_MILLIS, remainingMillis);
+        }
+        return trials;
+    }
+
+    private static FleetView viewOfTwoRegions() {
+        List<Instance> listed = new ArrayList<>();
+        for (int i = 1; i <= 5; i++) {
+            listed.add(instance("i-" + i, "10.0.0." + i, "a"));
+            listed.add(instance("far-" + i, "10.0.1." + i, "b"));
+        }
+        return new FleetView(RuleSet.EMPTY, listed, Set.of());
+    }
+
+    /**
+     * Guards against calls that fail in a burst on one region while another one has capacity: a region with four or more
+     * instances used up all trial attempts.
+     */
+    @Test
+    void lastTrialAttemptGoesToAnotherRegionUnlessItIsBackingOff() {
+        FleetView view = viewOfTwoRegions();
+        assertThat(refusedTrials(view, REMAINING_MILLIS), is(List.of("a", "a", "a", "b")));
+        assertThat("while backing off", refusedTrials(view, REMAINING_MILLIS), is(List.of("a", "a", "a", "a")));
+    }
+
+    /** Guards against paid traffic of deployments whose deadlines leave time to wait for the own region. */
+    @Test
+    void trialAttemptsOfCallsWithLongDeadlinesStayInTheirRegion() {
+        assertThat(refusedTrials(viewOfTwoRegions(), 3_000), is(List.of("a", "a", "a", "a")));
+    }
+
+    /** Guards against attempts in another region because instances of the own one leave or cannot be reached. */
+    @Test
+    void lastTrialAttemptStaysWhenOthersWereNotRefusedForLackOfCapacity() {
+        FleetView view = viewOfTwoRegions();
+        AttemptPlan plan = new AttemptPlan(selector, () -> view, "s", ROUTE, Set.of());
+        for (int i = 0; i < 3; i++) {
+            String id = plan.nextAttempt(OBJECTIVE_MILLIS, REMAINING_MILLIS)
+                    .instance()
+                    .id();
+            plan.recordRefusal(id);
+            plan.exclude(id);
+        }
+        AttemptPlan.Choice last = plan.nextAttempt(OBJECTIVE_MILLIS, REMAINING_MILLIS);
+        assertThat(last.purpose(), is(AttemptPurpose.TRIAL));
+        assertThat(last.instance().dataCentre(), is("a"));
+    }
 }
--- a/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/placement/InstanceSelectorTestCase.java
@@ -18,11 +18,17 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.nullValue;
 
 class InstanceSelectorTestCase {
 
     private static final String ROUTE = "route";
+
+    /** A call whose deadline leaves time to wait for a late answer. */
+    private static final CallTimes LONG = new CallTimes(3_000, 300, 3_000);
+
+    private static final CallTimes SHORT = new CallTimes(1_000, 200, 900);
     private static final Map<String, String> REGIONS = Map.of("a1", "a", "a2", "a", "b1", "b");
 
     private final AtomicLong nanos = new AtomicLong();
@@ -128,10 +134,7 @@
         FleetView view = view(
                 Set.of(), startedAt("old", 1_000), startedAt("new", 2_000), instance("far", "10.0.0.4", "b1", false));
         assertThat(rankedIds(view, Set.of()), contains("new", "far", "old"));
-        assertThat(
-                selector.chooseLastResort(view, selector.rank(view, "s", Set.of()))
-                        .id(),
-                is("new"));
+        assertThat(lastResort(view, LONG).id(), is("new"));
     }
 
     private static Instance startedAt(String id, long startMillis) {
@@ -145,16 +148,10 @@
         selector.recordLoad("centre", ROUTE, 300, 0);
         selector.recordLoad("region", ROUTE, 40, 0);
         selector.recordLoad("far", ROUTE, 10, 0);
-        assertThat(
-                selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()))
-                        .id(),
-                is("region"));
+        assertThat(lastResort(fullView, LONG).id(), is("region"));
         selector.recordLoad("centre", ROUTE, 1_300, 0);
         selector.recordLoad("region", ROUTE, 1_200, 0);
-        assertThat(
-                selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()))
-                        .id(),
-                is("far"));
+        assertThat(lastResort(fullView, LONG).id(), is("far"));
     }
 
     /**
@@ -179,7 +176,7 @@
             selector.recordLoad(id, ROUTE, 800, 800);
         }
         selector.recordLoad("far", ROUTE, 100, 0);
-        Instance lastResort = selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()));
+        Instance lastResort = lastResort(fullView, LONG);
         assertThat(selector.distance(lastResort), lessThan(Distance.OTHER_REGION));
     }
 
@@ -190,12 +187,64 @@
         selector.recordLoad("centre", ROUTE, 180, 0);
         selector.recordLoad("region", ROUTE, 180, 0);
         selector.recordLoad("far", ROUTE, 10, 0);
-        Instance lastResort = selector.chooseLastResort(fullView, selector.rank(fullView, "s", Set.of()));
+        Instance lastResort = lastResort(fullView, LONG);
         assertThat(selector.distance(lastResort), lessThan(Distance.OTHER_REGION));
     }
 
+    private Instance lastResort(FleetView view, CallTimes times) {
+        return selector.chooseLastResort(view, selector.rank(view, "s", Set.of()), ROUTE, times);
+    }
+
+    private void recordLoadOfOwnRegion(long millis) {
+        for (String id : List.of("own", "centre", "region")) {
+            selector.recordLoad(id, ROUTE, millis, 0);
+        }
+    }
+
+    /**
+     * Guards against calls with deadlines of 400 to 1,500 ms that are late or refused in a burst on one region, while
+     * another one has capacity: with a constant penalty of 1,000 ms none of them went there.
+     */
+    @Test
+    void callWithShortDeadlineThatWouldBeLateGoesToAnotherRegion() {
+        recordLoadOfOwnRegion(400);
+        selector.recordLoad("far", ROUTE, 100, 0);
+        assertThat(lastResort(fullView, SHORT).id(), is("far"));
+        assertThat("with a long deadline", lastResort(fullView, LONG).id(), is(not("far")));
+    }
+
+    /** Guards against paid traffic for calls that the own region answers within the objective, or hardly later. */
+    @Test
+    void callWithShortDeadlineStaysWhenItsRegionMissesTheObjectiveByLessThanTheWayCosts() {
+        recordLoadOfOwnRegion(240);
+        assertThat(lastResort(fullView, SHORT).id(), is(not("far")));
+    }
+
+    /** Guards against calls of any deadline that their own region answers too late, as in a burst on one region. */
+    @Test
+    void callThatItsRegionAnswersTooLateGoesToAnotherRegion() {
+        recordLoadOfOwnRegion(950);
+        selector.recordLoad("far", ROUTE, 100, 0);
+        assertThat(lastResort(fullView, SHORT).id(), is("far"));
+        CallTimes fewLeft = new CallTimes(3_000, 0, 900);
+        assertThat("with a long deadline", lastResort(fullView, fewLeft).id(), is("far"));
+        selector.recordLoad("far", ROUTE, 880, 0);
+        assertThat("too late there as well", lastResort(fullView, SHORT).id(), is(not("far")));
+    }
+
+    /**
+     * Guards against calls that displace each other between regions in a burst on all regions: a region that has just
+     * refused calls has an old report of little load.
+     */
+    @Test
+    void lateCallWithShortDeadlineStaysDuringTheBackoffOfTheOtherRegion() {
+        recordLoadOfOwnRegion(400);
+        selector.recordSaturated(fullView.instance("far"), ROUTE);
+        assertThat(lastResort(fullView, SHORT).id(), is(not("far")));
+    }
+
     @Test
     void returnsNoLastResortWithoutCandidates() {
-        assertThat(selector.chooseLastResort(fullView, List.of()), nullValue());
+        assertThat(selector.chooseLastResort(fullView, List.of(), ROUTE, LONG), nullValue());
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -130,6 +130,9 @@
         Instance instance = choice.instance();
         long now = calls.context().nanoTime();
         boolean foreign = calls.instanceSelector().distance(instance) == Distance.OTHER_REGION;
+        if (foreign) {
+            calls.meters().countOtherRegion(choice.purpose());
+        }
         boolean ofRepeatedExecution = parent != null && parent.repeated();
         boolean repeated = ofRepeatedExecution || reachedTargets > 0 || choice.purpose() == AttemptPurpose.HEDGE;
         ForwardCall call = routed.toMessage(
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -1,11 +1,13 @@
 package io.jaywick.node.relay;
 
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Supplier;
 
+import io.jaywick.core.placement.AttemptPurpose;
 import io.jaywick.core.retry.NestedCallAdmission;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
@@ -20,6 +22,7 @@
     private final MeterRegistry registry;
     private final Map<String, Timer> latencies = new HashMap<>();
     private final Map<String, Counter> attempts = new HashMap<>();
+    private final Map<AttemptPurpose, Counter> attemptsInOtherRegions = new EnumMap<>(AttemptPurpose.class);
     private final Map<String, Counter> budgetEvents = new HashMap<>();
     private final Map<String, Counter> nestedCalls = new HashMap<>();
     private final Map<String, Counter> refusedExecutions = new HashMap<>();
@@ -45,6 +48,18 @@
                 .increment();
     }
 
+    /** Counts an attempt in another region, which is paid for. */
+    void countOtherRegion(AttemptPurpose purpose) {
+        attemptsInOtherRegions
+                .computeIfAbsent(
+                        purpose,
+                        key -> registry.counter(
+                                "jaywick.attempts.other.region",
+                                "purpose",
+                                key.name().toLowerCase(Locale.ROOT).replace('_', '-')))
+                .increment();
+    }
+
     /** Records the status class and the latency of a response to a caller. */
     void recordResponse(String route, int status, long millis) {
         String statusClass = status / STATUS_CLASS + "xx";
