--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -14,6 +14,7 @@
 import io.jaywick.core.placement.Distance;
 import io.jaywick.core.placement.InstanceSelector;
 import io.jaywick.core.retry.HedgeDelay;
+import io.jaywick.core.retry.NestedCallAdmission;
 import io.jaywick.core.routing.SmoothWeightedRoundRobin;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.ServiceWeight;
@@ -108,18 +109,22 @@
      * Counts an original call at the retry budget, unless it is made for a repeated execution at the local target,
      * which has reserved it.
      *
-     * @return whether the call is made for a repeated execution
+     * @return the request at the local target for which the call is made, or null
      */
-    boolean recordCall(String requestId, String service) {
+    RunningRequest recordCall(String requestId, String service) {
         RunningRequest parent = localTarget.runningRequests().parentOf(requestId);
         if (parent != null) {
             localTarget.nestedCalls().recordCall(parent.route(), service);
         }
-        boolean isOfRepeatedExecution = parent != null && parent.repeated();
-        if (!isOfRepeatedExecution) {
+        if (parent == null || !parent.repeated()) {
             retryBudget.recordOriginalCall(service);
         }
-        return isOfRepeatedExecution;
+        return parent;
+    }
+
+    /** Records the end of a call made for a request that runs at the local target. */
+    void recordNestedOutcome(RunningRequest parent, String service, NestedCallAdmission.Outcome outcome) {
+        localTarget.nestedAdmission().recordOutcome(parent, service, outcome);
     }
 
     CallTarget targetOf(Instance instance) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -1,11 +1,16 @@
 package io.jaywick.node.relay;
 
 import java.time.Duration;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.Supplier;
 
+import io.jaywick.core.placement.AttemptPurpose;
+import io.jaywick.core.retry.NestedCallAdmission;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 
@@ -17,7 +22,10 @@
     private final MeterRegistry registry;
     private final Map<String, Timer> latencies = new HashMap<>();
     private final Map<String, Counter> attempts = new HashMap<>();
+    private final Map<AttemptPurpose, Counter> attemptsInOtherRegions = new EnumMap<>(AttemptPurpose.class);
     private final Map<String, Counter> budgetEvents = new HashMap<>();
+    private final Map<String, Counter> nestedCalls = new HashMap<>();
+    private final Map<String, Counter> refusedExecutions = new HashMap<>();
     private final Counter cancelled;
     private final Counter hedged;
 
@@ -40,6 +48,18 @@
                 .increment();
     }
 
+    /** Counts an attempt in another region, which is paid for. */
+    void countOtherRegion(AttemptPurpose purpose) {
+        attemptsInOtherRegions
+                .computeIfAbsent(
+                        purpose,
+                        key -> registry.counter(
+                                "jaywick.attempts.other.region",
+                                "purpose",
+                                key.name().toLowerCase(Locale.ROOT).replace('_', '-')))
+                .increment();
+    }
+
     /** Records the status class and the latency of a response to a caller. */
     void recordResponse(String route, int status, long millis) {
         String statusClass = status / STATUS_CLASS + "xx";
@@ -69,6 +89,34 @@
                 .increment(count);
     }
 
+    /** Counts a call made for a running request, by whether it found capacity at the service called. */
+    void countNestedCall(String service, NestedCallAdmission.Outcome outcome) {
+        nestedCalls
+                .computeIfAbsent(
+                        service + " " + outcome,
+                        key -> registry.counter(
+                                "jaywick.nested.calls",
+                                "service",
+                                service,
+                                "outcome",
+                                outcome.name().toLowerCase(Locale.ROOT)))
+                .increment();
+    }
+
+    /** Counts an execution that was refused because its calls would find no capacity. */
+    void countRefusedExecution(String route) {
+        refusedExecutions
+                .computeIfAbsent(route, key -> registry.counter("jaywick.nested.executions.refused", "route", route))
+                .increment();
+    }
+
+    /** Shows the admitted share of the executions that call a service. */
+    void registerNestedShare(String service, Supplier<Number> share) {
+        Gauge.builder("jaywick.nested.admitted.share", share)
+                .tag("service", service)
+                .register(registry);
+    }
+
     void countHedged() {
         hedged.increment();
     }
