Check the keys of client accounts

Cause: on some deployments a call needs the key of a client account. Nodes ignored the table of accounts, served calls without a key and forwarded keys to targets. Change: the node of the caller decides by the newest rules that it holds (CallerCheck), before the first attempt. The result (CallTerms) carries the account, its priority and the home regions that route and account both allow. Keys are removed from what is forwarded, and the account header is set whatever the caller sent. Without accounts the headers pass as before.

--- a/jaywick-core/src/main/java/io/jaywick/core/rules/RouteRule.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RouteRule.java
@@ -14,6 +14,7 @@
  * @param maxTargets greatest number of targets to which one call may be sent
  * @param homeRegions regions in which a call may be processed; empty means any
  * @param services at least one, with a positive sum of weights
+ * @param isPublic whether calls need no key of a client account
  */
 public record RouteRule(
         String name,
@@ -25,7 +26,8 @@
         int priority,
         int maxTargets,
         Set<String> homeRegions,
-        List<ServiceWeight> services) {
+        List<ServiceWeight> services,
+        boolean isPublic) {
 
     public RouteRule {
         homeRegions = Set.copyOf(homeRegions);
--- a/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
@@ -16,12 +16,24 @@
     private final Map<String, Map<String, RouteRule>> routesByHost = new HashMap<>();
     private final Map<String, ServiceRule> services = new HashMap<>();
     private final CallerLimits callerLimits;
+    private final ClientAccounts accounts;
     private final int routeCount;
 
+    /** Creates rules without client accounts. */
     public RuleSet(
             long version, Collection<RouteRule> routes, Collection<ServiceRule> services, CallerLimits callerLimits) {
+        this(version, routes, services, callerLimits, ClientAccounts.NONE);
+    }
+
+    public RuleSet(
+            long version,
+            Collection<RouteRule> routes,
+            Collection<ServiceRule> services,
+            CallerLimits callerLimits,
+            ClientAccounts accounts) {
         this.version = version;
         this.callerLimits = callerLimits;
+        this.accounts = accounts;
         this.routeCount = routes.size();
         for (ServiceRule service : services) {
             this.services.put(service.name(), service);
@@ -50,6 +62,21 @@
         return callerLimits;
     }
 
+    /** Returns whether there are client accounts, so that calls need a key. */
+    public boolean hasAccounts() {
+        return !accounts.isEmpty();
+    }
+
+    /** Returns the client account to which a key belongs, or null if there is none. */
+    public ClientAccount accountOf(String key) {
+        return accounts.byKey(key);
+    }
+
+    /** Returns the client account with a name, or null if there is none. */
+    public ClientAccount account(String name) {
+        return accounts.byName(name);
+    }
+
     /** Returns the rule of a service, or null if there is none. */
     public ServiceRule service(String name) {
         return services.get(name);
--- a/jaywick-core/src/test/java/io/jaywick/core/rules/RuleSetTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/rules/RuleSetTestCase.java
@@ -15,7 +15,17 @@
 
     private static RouteRule route(String host, String prefix) {
         return new RouteRule(
-                host + prefix, host, prefix, true, 1_000, 200, 1, 2, Set.of(), List.of(new ServiceWeight("s", 1)));
+                host + prefix,
+                host,
+                prefix,
+                true,
+                1_000,
+                200,
+                1,
+                2,
+                Set.of(),
+                List.of(new ServiceWeight("s", 1)),
+                false);
     }
 
     private static RuleSet rules(RouteRule... routes) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientResponse.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientResponse.java
@@ -12,6 +12,7 @@
 record ClientResponse(int status, List<String> headers, byte[] body, long retryAfterMillis) {
 
     static final int BAD_REQUEST = 400;
+    static final int UNAUTHORIZED = 401;
     static final int NOT_FOUND = 404;
     static final int REQUEST_TIMEOUT = 408;
     static final int CONTENT_TOO_LARGE = 413;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CrashSuspects.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CrashSuspects.java
@@ -7,7 +7,10 @@
 import io.jaywick.core.admission.Fingerprint;
 import io.jaywick.core.admission.SuspectList;
 import io.jaywick.core.message.ForwardCall;
+import io.jaywick.core.rules.ClientAccount;
 import io.jaywick.core.rules.RouteRule;
+import io.jaywick.core.rules.RuleSet;
+import io.jaywick.core.snapshot.HomeRegions;
 
 /**
  * Recognizes the requests that crash the local target, from the calls that were in flight when it went down and from
@@ -94,7 +97,16 @@
     }
 
     private Set<String> homeRegions(ForwardCall call) {
-        RouteRule route = context.fleet().get().rules().routeFor(HopHeaders.find(call.headers(), "Host"), call.uri());
-        return route == null ? Set.of() : route.homeRegions();
+        RuleSet rules = context.fleet().get().rules();
+        RouteRule route = rules.routeFor(HopHeaders.find(call.headers(), "Host"), call.uri());
+        if (route == null) {
+            return Set.of();
+        }
+        String accountName = HopHeaders.find(call.headers(), context.names().account());
+        ClientAccount account = accountName == null ? null : rules.account(accountName);
+        Set<String> homeRegions =
+                HomeRegions.intersection(route.homeRegions(), account == null ? Set.of() : account.homeRegions());
+        // The rules may have changed while the call ran; the report then stays in this region.
+        return homeRegions == null ? Set.of(context.settings().region()) : homeRegions;
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/HeaderNames.java
@@ -17,6 +17,8 @@
  *     several names of the same header
  * @param leaving with the value 1 in responses of an instance that accepts no further calls; several names of the same
  *     header
+ * @param credential key of a client account, in requests of callers; it is never forwarded while there are accounts
+ * @param account name of the client account to which the key of a request belongs, in requests to targets
  */
 public record HeaderNames(
         String requestId,
@@ -28,7 +30,9 @@
         String instanceId,
         String coldMillis,
         List<String> rateLimit,
-        List<String> leaving) {
+        List<String> leaving,
+        String credential,
+        String account) {
 
     private static final String LEAVING_VALUE = "1";
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -11,6 +11,9 @@
 import io.jaywick.core.placement.AttemptPlan;
 import io.jaywick.core.placement.AttemptPurpose;
 import io.jaywick.core.placement.Distance;
+import io.jaywick.core.rules.CallerDecision;
+import io.jaywick.core.rules.CallerDecision.Outcome;
+import io.jaywick.core.rules.ClientAccount;
 import io.jaywick.core.rules.RouteRule;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -29,6 +32,9 @@
     /** Time for which an instance is avoided after it refused a call as draining or unknown. */
     private static final long DRAINING_AVOID_MILLIS = 1_000;
 
+    /** Such a call can succeed only after a change of the rules or contact to their source, which takes a second or more. */
+    private static final long NEWER_RULES_WAIT_MILLIS = 1_000;
+
     private static final int STATUS_SERVER_FAILURE = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -39,6 +45,7 @@
     private final CallResponses responses;
     private final CallHistory history = new CallHistory();
     private final List<Attempt> openAttempts = new ArrayList<>();
+    private ClientAccount account;
     private RoutedCall routed;
     private AttemptPlan plan;
     private boolean ofRepeatedExecution;
@@ -71,20 +78,62 @@
             respond(ClientResponse.generated(ClientResponse.NOT_FOUND, "no-route", 0));
             return;
         }
+        CallerDecision caller = calls.checkCaller(view.rules(), request, requestId, route);
+        account = caller.account();
+        if (!caller.isAccepted()) {
+            refuseCaller(caller.outcome(), route);
+            return;
+        }
         long deadlineNanos =
                 RoutedCall.deadlineNanos(request, route, calls.context().names());
         if (!calls.canAccept(requestId, route, deadlineNanos)) {
             respond(responses.refusal("node-leaves"));
             return;
         }
-        routed = RoutedCall.of(calls, request, requestId, route);
+        routed = RoutedCall.of(calls, request, requestId, route, caller.terms());
         plan = new AttemptPlan(
-                calls.instanceSelector(), calls::fleet, routed.service(), route.name(), route.homeRegions());
-        ofRepeatedExecution = calls.recordCall(requestId, routed.service());
+                calls.instanceSelector(),
+                calls::fleet,
+                routed.service(),
+                route.name(),
+                routed.terms().homeRegions());
         deadlineTimer = calls.context()
                 .runtime()
                 .loop()
                 .schedule(this::deadlinePassed, remainingMillis() + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
+        // A quota of the account is checked here; the call then starts at once or when it gets its part of the quota.
+        startAdmitted();
+    }
+
+    /** Refuses a call that its caller may not make. */
+    private void refuseCaller(Outcome outcome, RouteRule route) {
+        calls.meters().countAccountOutcome(outcome.label());
+        calls.context()
+                .log()
+                .refusalEvent(
+                        "caller refused",
+                        "requestId",
+                        requestId,
+                        "route",
+                        route.name(),
+                        "account",
+                        accountName(),
+                        "reason",
+                        outcome.label());
+        if (outcome.lacksKey()) {
+            respond(ClientResponse.generated(ClientResponse.UNAUTHORIZED, outcome.label(), 0));
+        } else {
+            responses.recordExpectedWait(NEWER_RULES_WAIT_MILLIS);
+            respond(responses.refusal(outcome.label()));
+        }
+    }
+
+    /** Makes the first attempt of a call that its caller may make now. */
+    private void startAdmitted() {
+        if (routed.account() != null) {
+            calls.meters().countAccountOutcome(Outcome.ACCEPTED.label());
+        }
+        ofRepeatedExecution = calls.recordCall(requestId, routed.service());
         attemptNext();
     }
 
@@ -399,6 +448,8 @@
                         routeName(),
                         "service",
                         serviceName(),
+                        "account",
+                        accountName(),
                         "instances",
                         history,
                         "elapsedMillis",
@@ -424,6 +475,8 @@
                             routeName(),
                             "service",
                             serviceName(),
+                            "account",
+                            accountName(),
                             "rulesVersion",
                             calls.fleet().rules().version(),
                             "status",
@@ -448,6 +501,10 @@
         return routed == null ? "" : routed.service();
     }
 
+    private String accountName() {
+        return account == null ? "" : account.name();
+    }
+
     private void finish() {
         ended = true;
         cancelHedge();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.jaywick.core.fleet.FleetView;
@@ -15,7 +16,10 @@
 import io.jaywick.core.placement.InstanceSelector;
 import io.jaywick.core.retry.HedgeDelay;
 import io.jaywick.core.routing.SmoothWeightedRoundRobin;
+import io.jaywick.core.rules.CallerCheck;
+import io.jaywick.core.rules.CallerDecision;
 import io.jaywick.core.rules.RouteRule;
+import io.jaywick.core.rules.RuleSet;
 import io.jaywick.core.rules.ServiceWeight;
 
 /** State and collaborators that all calls of the local callers of one node share. */
@@ -28,6 +32,7 @@
     private final LocalTarget localTarget;
     private final PeerCalls peerCalls;
     private final RelayMeters meters;
+    private final BooleanSupplier rulesOutdated;
     private final ObservedRateLimits rateLimits;
     private final Map<String, SmoothWeightedRoundRobin<ServiceWeight>> weightsByRoute = new HashMap<>();
     private final int peerPort;
@@ -38,19 +43,22 @@
     private final String callIdPrefix;
     private long lastCallNumber;
 
+    /** @param rulesOutdated whether the rules are too old to know which keys of client accounts were removed */
     OutboundCalls(
             RelayContext context,
             InstanceSelector instanceSelector,
             SharedRetryBudget retryBudget,
             LocalTarget localTarget,
             PeerCalls peerCalls,
-            RelayMeters meters) {
+            RelayMeters meters,
+            BooleanSupplier rulesOutdated) {
         this.context = context;
         this.instanceSelector = instanceSelector;
         this.retryBudget = retryBudget;
         this.localTarget = localTarget;
         this.peerCalls = peerCalls;
         this.meters = meters;
+        this.rulesOutdated = rulesOutdated;
         this.rateLimits = new ObservedRateLimits(context.names().rateLimit());
         this.peerPort = context.settings().peerPort();
         // Other nodes may read messages about the calls of an earlier process of this host late.
@@ -96,12 +104,15 @@
                 .service();
     }
 
-    /**
-     * Returns the priority of a call from this host. A call made on behalf of a request that runs at the local target
-     * is no more urgent than that request.
-     */
-    int priorityOf(String requestId, RouteRule route) {
-        return localTarget.runningRequests().priorityOf(requestId, route.priority());
+    /** Decides whether a call is accepted from its caller, and on which terms. */
+    CallerDecision checkCaller(RuleSet rules, ClientRequest request, String requestId, RouteRule route) {
+        return CallerCheck.check(
+                rules,
+                route,
+                request.headers().getAll(context.names().credential()),
+                requestId,
+                localTarget.runningRequests(),
+                rulesOutdated.getAsBoolean());
     }
 
     /**
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -123,7 +123,14 @@
                 runtime.random());
         this.sourceExchange = SourceExchange.of(settings, link, () -> view, instanceSelector, runtime, sourceState);
         handlers.register(SourceQuery.class, message -> sourceExchange.handleQuery((SourceQuery) message));
-        this.outboundCalls = new OutboundCalls(context, instanceSelector, retryBudget, localTarget, peerCalls, meters);
+        this.outboundCalls = new OutboundCalls(
+                context,
+                instanceSelector,
+                retryBudget,
+                localTarget,
+                peerCalls,
+                meters,
+                () -> sourceState.ageMillis() > settings.maxKeyAgeMillis());
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
         this.clientListener = new ClientListener(context, outboundCalls);
         this.drain = new RelayDrain(
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayLog.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayLog.java
@@ -16,8 +16,9 @@
     private static final int CALL_LINES_PER_SECOND = 50;
 
     /**
-     * Separate limit for refusals at the local target. A failed call lists them as well, at the caller's node; these
-     * lines add the cause, and an overload causes many more refusals than failed calls.
+     * Separate limit for refusals at the local target and of callers without a valid key. A failed call lists the former
+     * as well, at the caller's node; these lines add the cause, and an overload causes many more refusals than failed
+     * calls. A client with a wrong key must not suppress the lines about other calls.
      */
     private static final int REFUSAL_LINES_PER_SECOND = 10;
 
@@ -49,7 +50,7 @@
         infoRateLimited(callLimiter, "call log lines suppressed", message, fields);
     }
 
-    /** Logs a call that was refused at the local target, with a separate rate limit. */
+    /** Logs a call that was refused at the local target or because of its caller, with a separate rate limit. */
     public void refusalEvent(String message, Object... fields) {
         infoRateLimited(refusalLimiter, "refusal log lines suppressed", message, fields);
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -18,6 +18,7 @@
     private final Map<String, Timer> latencies = new HashMap<>();
     private final Map<String, Counter> attempts = new HashMap<>();
     private final Map<String, Counter> budgetEvents = new HashMap<>();
+    private final Map<String, Counter> accountOutcomes = new HashMap<>();
     private final Counter cancelled;
     private final Counter hedged;
 
@@ -69,6 +70,13 @@
                 .increment(count);
     }
 
+    /** Counts a call by what was decided on its client account. */
+    void countAccountOutcome(String outcome) {
+        accountOutcomes
+                .computeIfAbsent(outcome, key -> registry.counter("jaywick.account.calls", "outcome", outcome))
+                .increment();
+    }
+
     void countHedged() {
         hedged.increment();
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -24,6 +24,8 @@
  * @param graceMillis time between the request to stop and the forced end of the process
  * @param maxPropagationMillis shortest time within which a change published by the source must be active on every node
  * @param coldStartLimit calls that a cold target may get in excess of the rate that it sustains
+ * @param maxKeyAgeMillis time since the last answer of the source after which keys of client accounts count as
+ *     unverified; {@link Long#MAX_VALUE} if the node goes on with the rules that it holds
  */
 public record RelaySettings(
         String name,
@@ -44,7 +46,8 @@
         long retryWindowMillis,
         long graceMillis,
         long maxPropagationMillis,
-        ColdStartLimit coldStartLimit) {
+        ColdStartLimit coldStartLimit,
+        long maxKeyAgeMillis) {
 
     /** Port at which every node accepts calls from other nodes. */
     int peerPort() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RoutedCall.java
@@ -1,6 +1,7 @@
 package io.jaywick.node.relay;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
@@ -8,12 +9,14 @@
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.placement.AttemptPlan;
 import io.jaywick.core.placement.AttemptPurpose;
+import io.jaywick.core.rules.CallTerms;
+import io.jaywick.core.rules.ClientAccount;
 import io.jaywick.core.rules.RouteRule;
 
 /**
  * A request with its route and the values that follow from it.
  *
- * @param priority 0 is the highest
+ * @param terms terms on which the call was accepted from its caller
  * @param headers forwarded headers, alternating names and values
  * @param deadlineNanos monotonic time at which the caller stops waiting
  */
@@ -22,7 +25,7 @@
         String requestId,
         RouteRule route,
         String service,
-        int priority,
+        CallTerms terms,
         List<String> headers,
         long deadlineNanos) {
 
@@ -32,18 +35,24 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** Applies a route: chooses the service, and uses the earlier of the caller's deadline and the route's timeout. */
-    static RoutedCall of(OutboundCalls calls, ClientRequest request, String requestId, RouteRule route) {
+    static RoutedCall of(
+            OutboundCalls calls, ClientRequest request, String requestId, RouteRule route, CallTerms terms) {
         HeaderNames names = calls.context().names();
         return new RoutedCall(
                 request,
                 requestId,
                 route,
                 calls.chooseService(route),
-                calls.priorityOf(requestId, route),
-                forwardedHeaders(request, names, calls.context().settings().service()),
+                terms,
+                forwardedHeaders(request, names, calls.context().settings().service(), terms),
                 deadlineNanos(request, route, names));
     }
 
+    /** Returns the client account to which the call is attributed, or null. */
+    ClientAccount account() {
+        return terms.account();
+    }
+
     /** Returns the earlier of the caller's deadline and the route's timeout, as a monotonic time. */
     static long deadlineNanos(ClientRequest request, RouteRule route, HeaderNames names) {
         long allowedMillis =
@@ -51,15 +60,23 @@
         return request.receivedNanos() + allowedMillis * NANOS_PER_MILLI;
     }
 
-    private static List<String> forwardedHeaders(ClientRequest request, HeaderNames names, String callerService) {
-        List<String> forwarded = new ArrayList<>(HopHeaders.copy(
-                request.headers(),
-                Set.of(
-                        names.callerService().toLowerCase(Locale.ROOT),
-                        names.expectedInstance().toLowerCase(Locale.ROOT),
-                        names.deadlineMillis().toLowerCase(Locale.ROOT))));
+    private static List<String> forwardedHeaders(
+            ClientRequest request, HeaderNames names, String callerService, CallTerms terms) {
+        Set<String> excluded = new HashSet<>(Set.of(
+                names.callerService().toLowerCase(Locale.ROOT),
+                names.expectedInstance().toLowerCase(Locale.ROOT),
+                names.deadlineMillis().toLowerCase(Locale.ROOT)));
+        if (terms.hidesCallerHeaders()) {
+            excluded.add(names.credential().toLowerCase(Locale.ROOT));
+            excluded.add(names.account().toLowerCase(Locale.ROOT));
+        }
+        List<String> forwarded = new ArrayList<>(HopHeaders.copy(request.headers(), excluded));
         forwarded.add(names.callerService());
         forwarded.add(callerService);
+        if (terms.account() != null) {
+            forwarded.add(names.account());
+            forwarded.add(terms.account().name());
+        }
         return forwarded;
     }
 
@@ -92,7 +109,7 @@
                 choice.instance().id(),
                 route.name(),
                 route.idempotent(),
-                priority,
+                terms.priority(),
                 purpose == AttemptPurpose.HEDGE
                         ? Math.round(HEDGE_OBJECTIVE_RATIO * remainingMillis)
                         : route.objectiveMillis() - elapsedMillis,
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/OutboundCallsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/OutboundCallsTestCase.java
@@ -25,7 +25,8 @@
                 null,
                 null,
                 null,
-                new RelayMeters(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)));
+                new RelayMeters(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)),
+                () -> false);
     }
 
     /** Guards against a cancellation from before a restart that is read late and cancels a call of the new process. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -46,7 +46,9 @@
             "Instance",
             "Cold",
             List.of("Limit", "Other-Limit"),
-            List.of("Leaving", "Other-Leaving"));
+            List.of("Leaving", "Other-Leaving"),
+            "Key",
+            "Account");
 
     /** Number of calls that a target runs concurrently. */
     static final int SLOTS = 4;
@@ -186,6 +188,11 @@
                 .sum();
     }
 
+    /** Number of calls for whose client account the caller's node decided the given outcome. */
+    double accountOutcomes(String outcome) {
+        return callerMeters.counter("jaywick.account.calls", "outcome", outcome).count();
+    }
+
     /** Calls per second that the node of the first target knows as its limit; NaN when it knows none. */
     double rateLimit() {
         return targetMeters.get(0).get("jaywick.target.rate.limit").gauge().value();
@@ -274,7 +281,8 @@
                 RETRY_WINDOW_MILLIS,
                 graceMillis,
                 2_000,
-                ColdStartLimit.NONE);
+                ColdStartLimit.NONE,
+                Long.MAX_VALUE);
     }
 
     /** Publishes a view in which one target serves two routes, one of them idempotent, with the given timeout. */
@@ -336,9 +344,18 @@
                     1,
                     2,
                     Set.of(),
-                    List.of(new ServiceWeight("other-service", 1))));
+                    List.of(new ServiceWeight("other-service", 1)),
+                    false));
         }
-        RuleSet rules = new RuleSet(1, routes, services, LIMITS);
+        publish(new RuleSet(1, routes, services, LIMITS), instances);
+    }
+
+    /** Publishes rules, and one target of the service {@code other-service}. */
+    void publish(RuleSet rules) {
+        publish(rules, List.of(instance(false)));
+    }
+
+    private void publish(RuleSet rules, List<Instance> instances) {
         published = rules;
         FleetView view = new FleetView(rules, instances, Set.of());
         publishedView = view;
