--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelayMeters.java
@@ -26,6 +26,7 @@
     private final Map<String, Counter> budgetEvents = new HashMap<>();
     private final Map<String, Counter> nestedCalls = new HashMap<>();
     private final Map<String, Counter> refusedExecutions = new HashMap<>();
+    private final Map<String, Counter> accountOutcomes = new HashMap<>();
     private final Counter cancelled;
     private final Counter hedged;
 
@@ -117,6 +118,13 @@
                 .register(registry);
     }
 
+    /** Counts a call by what was decided on its client account. */
+    void countAccountOutcome(String outcome) {
+        accountOutcomes
+                .computeIfAbsent(outcome, key -> registry.counter("jaywick.account.calls", "outcome", outcome))
+                .increment();
+    }
+
     void countHedged() {
         hedged.increment();
     }
