--- a/jaywick-schema/src/main/java/io/jaywick/schema/SettingsPage.java
+++ b/jaywick-schema/src/main/java/io/jaywick/schema/SettingsPage.java
@@ -19,6 +19,9 @@
             Host names are not resolved. Port 0 selects a free port. Addresses in a list are separated by spaces. A string has \
             1 to 128 printable characters without spaces. Ranges are inclusive.
 
+            Nodes on the users' platform read the file that the platform writes, with other settings; docs/OPERATIONS.md \
+            lists those of the quotas.
+
             `./generate-records` writes this page from `settings.toml`, and a test compares the two.
             """;
 
