Take a token of its account for each call

Cause: calls of client accounts are to be limited before their first attempt.

Change: AccountQuotas connects the quotas with links, timers, metrics and the log. OutboundCall takes a token between the choice of the route and the first attempt, answers 429 when it is refused and returns the token of a call that reached no target.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientResponse.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientResponse.java
@@ -15,6 +15,7 @@
     static final int NOT_FOUND = 404;
     static final int REQUEST_TIMEOUT = 408;
     static final int CONTENT_TOO_LARGE = 413;
+    static final int TOO_MANY_REQUESTS = 429;
     static final int HEADERS_TOO_LARGE = 431;
     static final int BAD_GATEWAY = 502;
     static final int SERVICE_UNAVAILABLE = 503;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -11,6 +11,7 @@
 import io.jaywick.core.placement.AttemptPlan;
 import io.jaywick.core.placement.AttemptPurpose;
 import io.jaywick.core.placement.Distance;
+import io.jaywick.core.rules.ClientAccount;
 import io.jaywick.core.rules.RouteRule;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -29,6 +30,17 @@
     /** Time for which an instance is avoided after it refused a call as draining or unknown. */
     private static final long DRAINING_AVOID_MILLIS = 1_000;
 
+    /** A call waits for a token for at most a quarter of its objective, within bounds. */
+    private static final long QUOTA_WAIT_DIVISOR = 4;
+
+    /** A holder in another region that has to borrow answers within this time. */
+    private static final long MIN_QUOTA_WAIT_MILLIS = 100;
+
+    private static final long MAX_QUOTA_WAIT_MILLIS = 300;
+
+    /** Callers that return sooner would mostly be refused again, and each refusal costs as much as a request. */
+    private static final long MIN_QUOTA_RETRY_MILLIS = 100;
+
     private static final int STATUS_SERVER_FAILURE = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -41,6 +53,7 @@
     private final List<Attempt> openAttempts = new ArrayList<>();
     private RoutedCall routed;
     private AttemptPlan plan;
+    private CallToken token;
     private boolean ofRepeatedExecution;
     private int reachedTargets;
     private ScheduledFuture<?> hedgeTimer;
@@ -85,7 +98,27 @@
                 .runtime()
                 .loop()
                 .schedule(this::deadlinePassed, remainingMillis() + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
-        attemptNext();
+        takeToken();
+    }
+
+    /** Takes a token of the account's quota before the first attempt. */
+    private void takeToken() {
+        token = new CallToken(calls.accountQuotas(), account(), this::attemptNext, this::refuseOverQuota);
+        token.take(Math.min(
+                Math.max(routed.route().objectiveMillis() / QUOTA_WAIT_DIVISOR, MIN_QUOTA_WAIT_MILLIS),
+                MAX_QUOTA_WAIT_MILLIS));
+    }
+
+    /** Returns the account of the call, or null; the rules name no accounts yet. */
+    private ClientAccount account() {
+        return null;
+    }
+
+    private void refuseOverQuota(long retryAfterMillis) {
+        long millis = Math.max(MIN_QUOTA_RETRY_MILLIS, retryAfterMillis);
+        // Without jitter, callers that were refused together would retry together.
+        long jitterMillis = calls.context().runtime().random().nextLong(millis / 2 + 1);
+        respond(ClientResponse.generated(ClientResponse.TOO_MANY_REQUESTS, "over-quota", millis + jitterMillis));
     }
 
     private long remainingMillis() {
@@ -450,6 +483,9 @@
 
     private void finish() {
         ended = true;
+        if (token != null) {
+            token.callEnded(reachedTargets > 0 || !openAttempts.isEmpty() || !responses.isNotExecuted());
+        }
         cancelHedge();
         cancelAttempts();
         calls.ended(this);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -25,6 +25,7 @@
     private final InstanceSelector instanceSelector;
     private final SharedRetryBudget retryBudget;
     private final HedgeDelay hedgeDelay = new HedgeDelay();
+    private final AccountQuotas accountQuotas;
     private final LocalTarget localTarget;
     private final PeerCalls peerCalls;
     private final RelayMeters meters;
@@ -42,12 +43,14 @@
             RelayContext context,
             InstanceSelector instanceSelector,
             SharedRetryBudget retryBudget,
+            AccountQuotas accountQuotas,
             LocalTarget localTarget,
             PeerCalls peerCalls,
             RelayMeters meters) {
         this.context = context;
         this.instanceSelector = instanceSelector;
         this.retryBudget = retryBudget;
+        this.accountQuotas = accountQuotas;
         this.localTarget = localTarget;
         this.peerCalls = peerCalls;
         this.meters = meters;
@@ -211,6 +214,10 @@
         return retryBudget;
     }
 
+    AccountQuotas accountQuotas() {
+        return accountQuotas;
+    }
+
     HedgeDelay hedgeDelay() {
         return hedgeDelay;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -67,6 +67,7 @@
     private final LocalTarget localTarget;
     private final TargetPool pool;
     private final SharedRetryBudget retryBudget;
+    private final AccountQuotas accountQuotas;
     private final OutboundCalls outboundCalls;
     private final PeerCalls peerCalls;
     private final ClientListener clientListener;
@@ -107,6 +108,8 @@
         handlers.register(SuspectReport.class, message -> suspectReporter.handle((SuspectReport) message));
         RelayMeters meters = new RelayMeters(registry);
         this.retryBudget = new SharedRetryBudget(context, meters);
+        this.accountQuotas = new AccountQuotas(context, link, registry);
+        accountQuotas.register(handlers);
         this.localTarget = new LocalTarget(context, pool, suspects, new NestedCalls(retryBudget, runtime.random()));
         this.peerCalls = new PeerCalls(link, localTarget, log);
         peerCalls.register(handlers);
@@ -123,7 +126,8 @@
                 runtime.random());
         this.sourceExchange = SourceExchange.of(settings, link, () -> view, instanceSelector, runtime, sourceState);
         handlers.register(SourceQuery.class, message -> sourceExchange.handleQuery((SourceQuery) message));
-        this.outboundCalls = new OutboundCalls(context, instanceSelector, retryBudget, localTarget, peerCalls, meters);
+        this.outboundCalls = new OutboundCalls(
+                context, instanceSelector, retryBudget, accountQuotas, localTarget, peerCalls, meters);
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
         this.clientListener = new ClientListener(context, outboundCalls);
         this.drain = new RelayDrain(
@@ -196,6 +200,8 @@
             suspectReporter.viewChanged();
             outboundCalls.viewChanged();
             retryBudget.viewChanged();
+            // The rules of this version name no accounts.
+            accountQuotas.viewChanged(List.of());
             boolean usable = newer.rules().isLoaded() && !newer.instances().isEmpty();
             if (usable && !isReady) {
                 isReady = true;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.jaywick.core.gate.ColdStartLimit;
+import io.jaywick.core.limits.QuotaBounds;
 
 /**
  * Settings of one node.
@@ -24,6 +25,7 @@
  * @param graceMillis time between the request to stop and the forced end of the process
  * @param maxPropagationMillis shortest time within which a change published by the source must be active on every node
  * @param coldStartLimit calls that a cold target may get in excess of the rate that it sustains
+ * @param quotaBounds bound on the calls of a client account over all nodes, relative to its limit
  */
 public record RelaySettings(
         String name,
@@ -44,7 +46,8 @@
         long retryWindowMillis,
         long graceMillis,
         long maxPropagationMillis,
-        ColdStartLimit coldStartLimit) {
+        ColdStartLimit coldStartLimit,
+        QuotaBounds quotaBounds) {
 
     /** Port at which every node accepts calls from other nodes. */
     int peerPort() {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/OutboundCallsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/OutboundCallsTestCase.java
@@ -25,6 +25,7 @@
                 null,
                 null,
                 null,
+                null,
                 new RelayMeters(new PrometheusMeterRegistry(PrometheusConfig.DEFAULT)));
     }
 
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -21,6 +21,7 @@
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.gate.ColdStartLimit;
+import io.jaywick.core.limits.QuotaBounds;
 import io.jaywick.core.rules.CallerLimits;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.RuleSet;
@@ -108,7 +109,7 @@
     }
 
     /** Returns a port that is free on all hosts; other processes may use it on some of them. */
-    private static int freePort(List<String> hosts) throws IOException {
+    static int freePort(List<String> hosts) throws IOException {
         while (true) {
             List<ServerSocket> sockets = new ArrayList<>();
             try {
@@ -274,7 +275,8 @@
                 RETRY_WINDOW_MILLIS,
                 graceMillis,
                 2_000,
-                ColdStartLimit.NONE);
+                ColdStartLimit.NONE,
+                QuotaBounds.DEFAULTS);
     }
 
     /** Publishes a view in which one target serves two routes, one of them idempotent, with the given timeout. */
