--- a/jaywick-core/src/main/java/io/jaywick/core/rules/ClientAccounts.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/ClientAccounts.java
@@ -21,6 +21,10 @@
         return accountsByName.isEmpty();
     }
 
+    Collection<ClientAccount> all() {
+        return accountsByName.values();
+    }
+
     ClientAccount byName(String name) {
         return accountsByName.get(name);
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
@@ -62,6 +62,10 @@
         return callerLimits;
     }
 
+    public Collection<ClientAccount> accounts() {
+        return accounts.all();
+    }
+
     /** Returns whether there are client accounts, so that calls need a key. */
     public boolean hasAccounts() {
         return !accounts.isEmpty();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -42,9 +42,24 @@
 
     /** Reason of a call that no instance accepts. */
     private static final String OVERLOADED = "overloaded";
+
+    /** Reason of a call beyond the limit of its account. */
+    private static final String OVER_QUOTA = "over-quota";
+
     /** Such a call can succeed only after a change of the rules or contact to their source, which takes a second or more. */
     private static final long NEWER_RULES_WAIT_MILLIS = 1_000;
 
+    /** A call waits for a token for at most a quarter of its objective, within bounds. */
+    private static final long QUOTA_WAIT_DIVISOR = 4;
+
+    /** A holder in another region that has to borrow answers within this time. */
+    private static final long MIN_QUOTA_WAIT_MILLIS = 100;
+
+    private static final long MAX_QUOTA_WAIT_MILLIS = 300;
+
+    /** Callers that return sooner would mostly be refused again, and each refusal costs as much as a request. */
+    private static final long MIN_QUOTA_RETRY_MILLIS = 100;
+
     private static final int STATUS_SERVER_FAILURE = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -59,6 +74,7 @@
     private RoutedCall routed;
     private AttemptPlan plan;
     private RunningRequest parent;
+    private CallToken token;
     private int reachedTargets;
     private int nestedRefusals;
     private boolean wasRefused;
@@ -114,8 +130,23 @@
                 .runtime()
                 .loop()
                 .schedule(this::deadlinePassed, remainingMillis() + DEADLINE_SLACK_MILLIS, TimeUnit.MILLISECONDS);
-        // A quota of the account is checked here; the call then starts at once or when it gets its part of the quota.
-        startAdmitted();
+        takeToken();
+    }
+
+    /** Takes a token of the account's quota before the first attempt. */
+    private void takeToken() {
+        token = new CallToken(calls.accountQuotas(), routed.account(), this::startAdmitted, this::refuseOverQuota);
+        token.take(Math.min(
+                Math.max(routed.route().objectiveMillis() / QUOTA_WAIT_DIVISOR, MIN_QUOTA_WAIT_MILLIS),
+                MAX_QUOTA_WAIT_MILLIS));
+    }
+
+    private void refuseOverQuota(long retryAfterMillis) {
+        calls.meters().countAccountOutcome(OVER_QUOTA);
+        long millis = Math.max(MIN_QUOTA_RETRY_MILLIS, retryAfterMillis);
+        // Without jitter, callers that were refused together would retry together.
+        long jitterMillis = calls.context().runtime().random().nextLong(millis / 2 + 1);
+        respond(ClientResponse.generated(ClientResponse.TOO_MANY_REQUESTS, OVER_QUOTA, millis + jitterMillis));
     }
 
     /** Refuses a call that its caller may not make. */
@@ -574,6 +605,9 @@
 
     private void finish() {
         ended = true;
+        if (token != null) {
+            token.callEnded(reachedTargets > 0 || !openAttempts.isEmpty() || !responses.isNotExecuted());
+        }
         cancelHedge();
         cancelAttempts();
         calls.ended(this);
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -67,6 +67,7 @@
     private final LocalTarget localTarget;
     private final TargetPool pool;
     private final SharedRetryBudget retryBudget;
+    private final AccountQuotas accountQuotas;
     private final OutboundCalls outboundCalls;
     private final PeerCalls peerCalls;
     private final ClientListener clientListener;
@@ -107,6 +108,8 @@
         handlers.register(SuspectReport.class, message -> suspectReporter.handle((SuspectReport) message));
         RelayMeters meters = new RelayMeters(registry);
         this.retryBudget = new SharedRetryBudget(context, meters);
+        this.accountQuotas = new AccountQuotas(context, link, registry);
+        accountQuotas.register(handlers);
         NestedCalls nestedCalls = new NestedCalls(retryBudget, runtime.random());
         this.localTarget = new LocalTarget(
                 context, pool, suspects, nestedCalls, new NestedAdmission(context, meters, nestedCalls));
@@ -129,6 +132,7 @@
                 context,
                 instanceSelector,
                 retryBudget,
+                accountQuotas,
                 localTarget,
                 peerCalls,
                 meters,
@@ -205,6 +209,8 @@
             suspectReporter.viewChanged();
             outboundCalls.viewChanged();
             retryBudget.viewChanged();
+            // The rules of this version name no accounts.
+            accountQuotas.viewChanged(newer.rules().accounts());
             boolean usable = newer.rules().isLoaded() && !newer.instances().isEmpty();
             if (usable && !isReady) {
                 isReady = true;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 
 import io.jaywick.core.gate.ColdStartLimit;
+import io.jaywick.core.limits.QuotaBounds;
 
 /**
  * Settings of one node.
@@ -26,6 +27,7 @@
  * @param coldStartLimit calls that a cold target may get in excess of the rate that it sustains
  * @param maxKeyAgeMillis time since the last answer of the source after which keys of client accounts count as
  *     unverified; {@link Long#MAX_VALUE} if the node goes on with the rules that it holds
+ * @param quotaBounds bound on the calls of a client account over all nodes, relative to its limit
  */
 public record RelaySettings(
         String name,
@@ -47,7 +49,8 @@
         long graceMillis,
         long maxPropagationMillis,
         ColdStartLimit coldStartLimit,
-        long maxKeyAgeMillis) {
+        long maxKeyAgeMillis,
+        QuotaBounds quotaBounds) {
 
     /** Port at which every node accepts calls from other nodes. */
     int peerPort() {
