Count responses with an invalid status as lost

The decoders parse a status as a number and accept any: also with leading zeros or a sign. On the relay's path a number outside 100 to 599 was already malformed, but "0200" and "+200" were delivered as 200. In the older proxy nothing was checked: 007, 099, 600, 999, 2000 and +200 were passed on as they were, 101 as an answer, and of interim responses 102 and 103 as the final one, because Reactor Netty skips only 100. A status in an answer of another node was used unchecked.

Both decoders check the text of the status before they build a message. ExchangeCodec drops interim responses other than 100 and treats a switch of the protocol as malformed. PeerCalls counts an answer whose status is not from 200 to 599 as lost. IngressCall and EgressCall get their responses through ExchangeCodec only, so that BufferedResponse and CompletedAttempt need no check of their own.

Held before, as a guard: UnexpectedTargetBytesTestCase#interimResponsesAreNotDelivered (the relay's path), and on that path 000, 0, 007, 099, 99, 600, 999, 20, 2000 and -1.

--- a/jaywick-node/src/main/java/io/jaywick/node/http/ExchangeCodec.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/http/ExchangeCodec.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import reactor.netty.ConnectionObserver;
@@ -25,6 +26,10 @@
  * HTTP/1.1 codec of a kept client connection with one exchange at a time. It closes the connection when bytes arrive
  * outside an exchange. Reactor Netty's codec keeps them, and a cut second response becomes the start of the next one.
  *
+ * <p>Interim responses other than 100 are dropped; Reactor Netty would pass them on as final ones.
+ *
+ * <p>A response with a status other than three digits from 100 to 599 is malformed.
+ *
  * <p>A response whose head contains a second status line is malformed: it starts with a cut second response that arrived
  * after the next request was sent.
  *
@@ -61,12 +66,14 @@
 
         private boolean responseIsFinal;
         private boolean isMalformed;
+        private boolean dropsInterim;
 
         @Override
         protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
             if (responseExpected) {
                 super.decode(context, buffer, decoded);
                 decoded.forEach(this::updateState);
+                decoded.removeIf(this::isOfDroppedInterim);
                 if (isMalformed) {
                     // Where the next response would start is not known.
                     context.close();
@@ -78,8 +85,19 @@
             }
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] initialLine) {
+            StatusLines.checkStatus(initialLine[1]);
+            return super.createMessage(initialLine);
+        }
+
         private void updateState(Object message) {
             if (message instanceof HttpResponse response) {
+                if (response.status().code() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+                    // No request asks for it; the decoder would pass on all further bytes undecoded.
+                    response.setDecoderResult(
+                            DecoderResult.failure(new IllegalArgumentException("unexpected switch of the protocol")));
+                }
                 if (response.decoderResult().isSuccess() && StatusLines.hasSecond(response)) {
                     response.setDecoderResult(DecoderResult.failure(
                             new IllegalArgumentException("response head contains a second status line")));
@@ -93,6 +111,17 @@
                     message instanceof HttpObject part && part.decoderResult().isFailure();
         }
 
+        /** Whether a message is part of an interim response other than 100, which the client knows. */
+        private boolean isOfDroppedInterim(Object message) {
+            if (message instanceof HttpResponse response) {
+                dropsInterim = response.decoderResult().isSuccess()
+                        && response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+                        && response.status().code() != HttpResponseStatus.CONTINUE.code();
+            }
+            // The decoder gives an interim response no content, only an end.
+            return dropsInterim && (message instanceof HttpResponse || message == LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+
         private void closeAtSurplus(ChannelHandlerContext context, ByteBuf surplus) {
             LOG.log(
                     System.Logger.Level.DEBUG,
--- a/jaywick-node/src/main/java/io/jaywick/node/http/StatusLines.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/http/StatusLines.java
@@ -7,7 +7,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Finds status lines that do not stand at the start of a response head. */
+/** Checks status lines, and finds those that do not stand at the start of a response head. */
 public final class StatusLines {
 
     private static final String STATUS_LINE_START = "HTTP/1.";
@@ -20,8 +20,30 @@
 
     private static final String LAST_CHUNK = "\r\n0\r\n";
 
+    /** Three digits, as every recipient can read them (RFC 9110, section 15). */
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+
+    private static final int MIN_FINAL_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+
     private StatusLines() {}
 
+    /**
+     * Checks the status of a status line. A decoder accepts every number, also with a sign or leading zeros.
+     *
+     * @throws IllegalArgumentException when it is not a number of three digits from 100 to 599
+     */
+    public static void checkStatus(String text) {
+        if (!STATUS.matcher(text).matches()) {
+            throw new IllegalArgumentException("invalid status in the response: " + text);
+        }
+    }
+
+    /** Returns whether a status is one of a final response. */
+    public static boolean isFinalStatus(int status) {
+        return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+    }
+
     /**
      * Returns whether the reason phrase or a header contains a status line. Then the head consists of two: the first
      * one was cut, and its last line continues with the status line of the second one.
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -13,6 +13,7 @@
 import io.jaywick.core.message.PeerLink;
 import io.jaywick.core.message.Ping;
 import io.jaywick.core.message.UpToDate;
+import io.jaywick.node.http.StatusLines;
 import io.jaywick.node.peer.MessageHandlers;
 import io.jaywick.node.peer.PeerException;
 
@@ -85,8 +86,14 @@
     private CallResult toResult(Message message) {
         if (message instanceof ForwardAnswer answer) {
             try {
+                CallResult.Outcome outcome = CallResult.Outcome.valueOf(answer.outcome());
+                if (outcome == CallResult.Outcome.ANSWERED && !StatusLines.isFinalStatus(answer.status())) {
+                    // A node of the previous version passes on what its target sends.
+                    log.warning("peer sent an invalid status", "status", answer.status());
+                    return CallResult.lost("peer-answer");
+                }
                 return new CallResult(
-                        CallResult.Outcome.valueOf(answer.outcome()),
+                        outcome,
                         answer.reason(),
                         answer.status(),
                         answer.headers(),
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetConnection.java
@@ -214,10 +214,9 @@
         fail(exchange, CallResult.lost("malformed-answer"));
     }
 
-    /** The decoder accepts any number as a status, and any version. */
+    /** The decoder accepts any version. */
     private static boolean isOfHttp1(HttpResponse response) {
-        return response.protocolVersion().majorVersion() == HttpVersion.HTTP_1_1.majorVersion()
-                && response.status().codeClass() != HttpStatusClass.UNKNOWN;
+        return response.protocolVersion().majorVersion() == HttpVersion.HTTP_1_1.majorVersion();
     }
 
     private void startResponse(HttpResponse response) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/TargetResponseDecoder.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/TargetResponseDecoder.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
+import io.jaywick.node.http.StatusLines;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
@@ -71,6 +72,12 @@
         super.decode(context, buffer, decoded);
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        StatusLines.checkStatus(initialLine[1]);
+        return super.createMessage(initialLine);
+    }
+
     private void detectSurplus(ByteBuf bytes) {
         if (!responseExpected && !surplusReceived && bytes.isReadable()) {
             surplusReceived = true;
--- a/jaywick-node/src/test/java/io/jaywick/node/http/ExchangeCodecTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/http/ExchangeCodecTestCase.java
@@ -74,6 +74,35 @@
         assertThat(channel.isOpen(), is(true));
     }
 
+    /** Guards against a response with a status that callers cannot read. */
+    @Test
+    void responseWithAnInvalidStatusIsMalformed() {
+        List<String> starts = new ArrayList<>(List.of("HTTP/1.1 101 "));
+        RawHttpServer.INVALID_STATUSES.forEach(status -> starts.add("HTTP/1.1 " + status + " "));
+        for (String start : starts) {
+            EmbeddedChannel kept = new EmbeddedChannel(new ExchangeCodec());
+            kept.writeOutbound(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/"));
+            kept.writeInbound(
+                    Unpooled.copiedBuffer(SUCCESS.replace("HTTP/1.1 200 ", start), StandardCharsets.ISO_8859_1));
+            HttpResponse response = kept.readInbound();
+            assertThat(start, response.decoderResult().isFailure(), is(true));
+            assertThat(start, kept.isOpen(), is(false));
+            kept.finishAndReleaseAll();
+        }
+    }
+
+    /** Guards against an interim response that the client takes for the final one. */
+    @Test
+    void interimResponsesAreDropped() {
+        send(HttpMethod.GET);
+        assertThat(receive("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n"), empty());
+        assertThat(receive(SUCCESS), contains("200", "ok", "end"));
+        assertThat(channel.isOpen(), is(true));
+        send(HttpMethod.GET);
+        assertThat(receive(SUCCESS + "HTTP/1.1 103 Early Hints\r\n\r\n"), contains("200", "ok", "end"));
+        assertThat(channel.isOpen(), is(false));
+    }
+
     /** Guards against a response without a length that lacks its end. */
     @Test
     void responseWithoutLengthEndsWithTheConnection() {
--- a/jaywick-node/src/test/java/io/jaywick/node/http/RawHttpServer.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/http/RawHttpServer.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.function.UnaryOperator;
@@ -16,6 +17,11 @@
 /** Answers GET requests with any bytes, also with more than one response. */
 public final class RawHttpServer implements AutoCloseable {
 
+    /** Texts in the place of a status that no response may have (RFC 9110, section 15). */
+    public static final List<String> INVALID_STATUSES = List.of(
+            "000", "0", "007", "099", "99", "600", "999", "20", "2000", "0200", "-1", "-200", "+200", "200.", "2OO",
+            "OK");
+
     private final ServerSocket socket;
     private final BlockingQueue<Connection> connections = new LinkedBlockingQueue<>();
 
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
+import io.jaywick.core.message.ForwardAnswer;
 import io.jaywick.core.message.ForwardCall;
 import io.jaywick.core.message.ForwardCancel;
 import io.jaywick.core.message.Message;
@@ -43,6 +44,31 @@
                 "");
     }
 
+    private static CallResult resultOf(String outcome, int status) {
+        PeerCalls calls = new PeerCalls(
+                (address, message) -> CompletableFuture.completedFuture(new ForwardAnswer(
+                        outcome, "status-" + status, status, List.of("Stamp", "s"), new byte[0], 7, 8)),
+                null,
+                new RelayLog(System.getLogger("test"), () -> 0L));
+        List<CallResult> received = new ArrayList<>();
+        calls.targetAt("127.0.0.3:1").send(call("a"), received::add);
+        assertThat(received.size(), is(1));
+        return received.get(0);
+    }
+
+    /** Guards against a status in the answer of a node that no response to a caller may have. */
+    @Test
+    void answerOfANodeWithAnInvalidStatusCountsAsLost() {
+        for (int status : List.of(-200, -1, 0, 7, 20, 99, 100, 101, 103, 199, 600, 999, 2_000, Integer.MAX_VALUE)) {
+            assertThat("" + status, resultOf("ANSWERED", status).outcome(), is(CallResult.Outcome.LOST));
+            assertThat("" + status, resultOf("ANSWERED", status).status(), is(0));
+        }
+        for (int status : List.of(200, 204, 304, 421, 500, 599)) {
+            assertThat(resultOf("ANSWERED", status).status(), is(status));
+        }
+        assertThat(resultOf("SHED", 0).outcome(), is(CallResult.Outcome.SHED));
+    }
+
     /**
      * Guards against a call that cannot be cancelled, and is not waited for at the end of the node, because a call with
      * the same id from before a restart of its sender has ended.
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/UnexpectedTargetBytesTestCase.java
@@ -6,6 +6,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 
+import io.jaywick.node.http.RawHttpServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -136,14 +137,32 @@
     /** Guards against a response to a caller that no client of HTTP/1.1 can read. */
     @Test
     void statusOrVersionThatIsNotOfHttp1IsNotDelivered() throws IOException {
-        for (String start :
-                List.of("HTTP/1.1 20 ", "HTTP/1.1 2000 ", "HTTP/1.1 600 ", "HTTP/2.0 200 ", "HTTP/0.9 200 ")) {
+        List<String> starts = new ArrayList<>(List.of("HTTP/2.0 200 ", "HTTP/0.9 200 "));
+        RawHttpServer.INVALID_STATUSES.forEach(status -> starts.add("HTTP/1.1 " + status + " "));
+        for (String start : starts) {
             fixture.target.script((request, out) -> FakeTarget.write(
                     out, FakeTarget.response(request, 200, "ok").replace("HTTP/1.1 200 ", start)));
             assertThat(start, call("POST", "b"), startsWith("HTTP/1.1 502 "));
         }
     }
 
+    /** Guards against an interim response that reaches a caller: after the final one, or because no final one follows. */
+    @Test
+    void interimResponsesAreNotDelivered() throws IOException {
+        for (int status : List.of(100, 102, 103, 199)) {
+            fixture.target.script((request, out) -> FakeTarget.write(
+                    out,
+                    FakeTarget.response(request, 500, "failed")
+                            + FakeTarget.response(request, status, "").replace("Content-Length: 0\r\n", "")));
+            assertThat("after the final one", call("POST", "a" + status), startsWith("HTTP/1.1 500 "));
+            fixture.target.script((request, out) -> {
+                FakeTarget.write(out, FakeTarget.response(request, status, "ok"));
+                return false;
+            });
+            assertThat("the only one", call("POST", "b" + status), startsWith("HTTP/1.1 502 "));
+        }
+    }
+
     /** Guards against a chunked success that was cut and ends with the last chunk of the target's second response. */
     @Test
     void cutChunkIsNotCompletedByAChunkedCopy() throws IOException {
