--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
@@ -33,6 +33,8 @@
     /** Maximum number of removals of former eras that are remembered. */
     private static final int MAX_FORMER_REMOVALS = 512;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final RetentionPolicy retention;
     private final LongSupplier nanoTime;
     private final SourceReplica replica = new SourceReplica();
@@ -49,7 +51,7 @@
     /**
      * Creates the knowledge of a node that has read nothing.
      *
-     * @param nanoTime monotonic clock in nanoseconds
+     * @param nanoTime clock in nanoseconds for the time of retention, see {@link AnsweredTime}
      */
     public SourceKnowledge(RetentionPolicy retention, LongSupplier nanoTime) {
         this.retention = retention;
@@ -297,7 +299,7 @@
         for (Retained known : retained.values()) {
             nanos = Math.min(nanos, known.untilNanos - now);
         }
-        return retained.isEmpty() ? -1 : Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos) + 1);
+        return retained.isEmpty() ? -1 : Math.max(0, (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
     }
 
     /**
--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -30,6 +30,12 @@
     private long graceUntilNanos;
     private boolean hasGracePeriod;
 
+    /**
+     * Creates the state of an empty fleet.
+     *
+     * @param nanoTime clock in nanoseconds for grace periods, which counts only time during which the platform is known
+     *     to be reachable
+     */
     public FleetState(LongSupplier nanoTime) {
         this.nanoTime = nanoTime;
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerSource.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerSource.java
@@ -19,8 +19,9 @@
      * result never fails.
      *
      * @param completeEntries whether complete entries are required, because an incremental update could not be applied
+     * @param maxWaitMillis a shorter wait, if this node must learn whether the source still answers
      */
-    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries);
+    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries, long maxWaitMillis);
 
     /** Sends newer state to the nodes that follow this one. */
     void notifyChanged();
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceExchange.java
@@ -103,8 +103,8 @@
     }
 
     @Override
-    public CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries) {
-        return follower.follow(held, completeEntries);
+    public CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries, long maxWaitMillis) {
+        return follower.follow(held, completeEntries, maxWaitMillis);
     }
 
     @Override
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/SourceFollower.java
@@ -61,13 +61,14 @@
     }
 
     /** Queries the upstream; the result has no host when this node must query the source itself. */
-    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries) {
+    CompletableFuture<FollowResult> follow(SourceVersion held, boolean completeEntries, long maxWaitMillis) {
         CompletableFuture<FollowResult> result = new CompletableFuture<>();
-        follow(held, completeEntries, result);
+        follow(held, completeEntries, maxWaitMillis, result);
         return result;
     }
 
-    private void follow(SourceVersion held, boolean completeEntries, CompletableFuture<FollowResult> result) {
+    private void follow(
+            SourceVersion held, boolean completeEntries, long maxWaitMillis, CompletableFuture<FollowResult> result) {
         String host =
                 failures >= MAX_FAILURES ? null : upstreams.select(view.get().instances());
         logIfChanged(host);
@@ -76,7 +77,7 @@
             result.complete(FollowResult.NO_UPSTREAM);
             return;
         }
-        long queryWaitMillis = failures == 0 ? waitMillis : PROBE_WAIT_MILLIS;
+        long queryWaitMillis = failures == 0 ? Math.min(waitMillis, maxWaitMillis) : PROBE_WAIT_MILLIS;
         CompletableFuture<Message> reply = link.request(
                 host + ":" + peerPort, new SourceQuery(held.revision(), queryWaitMillis, completeEntries, held));
         Runnable cancelTimer = scheduler.schedule(() -> reply.cancel(false), queryWaitMillis + REPLY_SLACK_MILLIS);
@@ -95,7 +96,7 @@
                         failure == null ? message.getClass().getSimpleName() : failure.toString());
                 failures++;
                 upstreams.recordFailure(host);
-                follow(held, completeEntries, result);
+                follow(held, completeEntries, maxWaitMillis, result);
             }
         });
     }
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/SourceExchangeTestCase.java
@@ -137,7 +137,7 @@
                         2_000,
                         (task, millis) -> () -> {},
                         new RelayLog(System.getLogger("test"), () -> 0L));
-                assertThat(follower.follow(held, false).join().host(), nullValue());
+                assertThat(follower.follow(held, false, Long.MAX_VALUE).join().host(), nullValue());
                 assertThat(asked.size(), is((int) asked.stream().distinct().count()));
             }
         }
