Forget ended retentions, and compare only changed entries

FleetState kept the mark of an entry that was retained when the platform became unreachable after the entry was put again or removed outright, so that a later retention of the same id did not end with its time. SourceKnowledge asked the retention policy again about every retained entry with each batch of changes, which decodes both states of each.

The mark is dropped with the retention. Only entries whose listed state may have changed are compared again, and all of them when the start of the era moves back, because each listed state may then count as written.

Tests that failed before: FleetStateTestCase#earlierRetentionDoesNotProlongALaterOne, SourceKnowledgeTestCase#onlyChangedEntriesAreComparedAgain.

--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
@@ -139,14 +139,27 @@
             }
         }
         replica.advanceTo(revision);
-        return usedChanges(listed);
+        return usedChanges(listed, keysOf(changes));
     }
 
-    /** Ends the use of retained states that what is listed now replaces, and returns the changes of what is used. */
-    private List<SourceEntry> usedChanges(List<SourceEntry> listed) {
+    private static Set<String> keysOf(List<SourceEntry> entries) {
+        Set<String> keys = new HashSet<>();
+        entries.forEach(entry -> keys.add(entry.key()));
+        return keys;
+    }
+
+    /**
+     * Ends the use of retained states that what is listed now replaces, and returns the changes of what is used.
+     *
+     * @param checkedKeys keys whose listed state may have changed; for the others the policy decides as before
+     */
+    private List<SourceEntry> usedChanges(List<SourceEntry> listed, Set<String> checkedKeys) {
         List<SourceEntry> changes = new ArrayList<>(listed);
         changes.removeIf(change -> retained.containsKey(change.key()));
         retained.values().removeIf(known -> {
+            if (!checkedKeys.contains(known.entry.key())) {
+                return false;
+            }
             SourceEntry state = replica.entryOrRemoval(known.entry.key());
             boolean isReplaced = retention.retentionMillis(known.entry, state, isWritten(state)) <= 0;
             if (isReplaced && !isSameState(known.entry, state)) {
@@ -178,10 +191,14 @@
         } else {
             SourceVersion heldBefore = version();
             List<SourceEntry> listed = replica.applyState(state);
+            Set<String> checkedKeys = keysOf(state.changed());
+            checkedKeys.addAll(keysOf(listed));
             if (hasSeenBefore(version, heldBefore)) {
                 eraStart = version.eraStart();
+                // Each listed state may now count as written in this era.
+                checkedKeys = Set.copyOf(retained.keySet());
             }
-            changes = usedChanges(listed);
+            changes = usedChanges(listed, checkedKeys);
         }
         if (hasNewerFormerPosition(version, version())) {
             state.retained().forEach(entry -> retainOfPeer(entry, changes));
--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -65,7 +65,7 @@
 
     /** Adds or replaces an instance that the platform lists. */
     public void put(Instance instance) {
-        retainedUntilNanos.remove(instance.id());
+        forgetRetention(instance.id());
         instances.put(instance.id(), instance);
     }
 
@@ -89,12 +89,17 @@
                 retained++;
             } else {
                 instances.remove(id);
-                retainedUntilNanos.remove(id);
+                forgetRetention(id);
             }
         }
         return retained;
     }
 
+    private void forgetRetention(String id) {
+        retainedUntilNanos.remove(id);
+        retainedUntilReachable.remove(id);
+    }
+
     /** Keeps the entries that are retained now until the platform is reachable; no instance can register before. */
     public void markUnreachable() {
         retainedUntilReachable.addAll(retainedUntilNanos.keySet());
--- a/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceKnowledgeTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/distribution/SourceKnowledgeTestCase.java
@@ -1,6 +1,7 @@
 package io.jaywick.core.distribution;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
@@ -181,6 +182,25 @@
         assertThat(follower.applyState(late), empty());
     }
 
+    /** Guards against a policy that decodes every retained entry with each batch of changes. */
+    @Test
+    void onlyChangedEntriesAreComparedAgain() {
+        List<String> compared = new ArrayList<>();
+        SourceKnowledge knowledge = new SourceKnowledge(
+                (known, listed, isWritten) -> {
+                    compared.add(known.key());
+                    return isWritten ? 0 : RETENTION_MILLIS;
+                },
+                nanos::get);
+        knowledge.applyRead(1, 90, List.of(entry("a", 80, "1"), entry("b", 85, "1")));
+        knowledge.applyRead(2, 40, List.of(entry("a", 30, "0"), entry("b", 31, "0")));
+        compared.clear();
+        knowledge.applyChanges(41, List.of(entry("c", 41, "1")));
+        assertThat(compared, empty());
+        assertThat(texts(knowledge.applyChanges(42, List.of(entry("b", 42, "2")))), is(List.of("b=2")));
+        assertThat(compared, is(List.of("b")));
+    }
+
     /** Guards against a removal that is forgotten at the first return and undone by a second, older copy. */
     @Test
     void removalIsRememberedBeyondAReturnThatDoesNotListTheEntry() {
--- a/jaywick-core/src/test/java/io/jaywick/core/fleet/FleetStateTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/fleet/FleetStateTestCase.java
@@ -113,6 +113,31 @@
         assertThat(state.publish().instance("none"), nullValue());
     }
 
+    /**
+     * Guards against an instance that is kept in a later outage because it was retained in an earlier one: it has
+     * registered again, or was removed, in between.
+     */
+    @Test
+    void earlierRetentionDoesNotProlongALaterOne() {
+        list(3);
+        state.markReconnected();
+        state.remove(Set.of("i1", "i2"));
+        state.markUnreachable();
+        state.put(instance("i1", false));
+        state.extendGracePeriod(FleetState.REMOVAL_GRACE_MILLIS);
+        state.remove(Set.of("i1"));
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(FleetState.REMOVAL_GRACE_MILLIS));
+        assertThat(state.removeExpired(), is(true));
+        assertThat(isListed("i1"), is(false));
+        assertThat("still retained", isListed("i2"), is(true));
+        state.remove(Set.of("i2"));
+        assertThat(isListed("i2"), is(false));
+        state.put(instance("i2", false));
+        state.extendGracePeriod(FleetState.REMOVAL_GRACE_MILLIS);
+        state.remove(Set.of("i2"));
+        assertThat(state.millisUntilExpiry(), is(FleetState.REMOVAL_GRACE_MILLIS));
+    }
+
     /**
      * Guards against live instances that are dropped in a second outage shortly after the first: they could not register
      * again in between.
