Explain where a call of a route would go now

An operator could see from the logs where a call went, but not why an instance gets calls or none at this moment.

PlacementExplanation makes the AttemptPlan of a call and shows the ranking from which its first attempt is chosen, with the parts of each score, back-offs and the reason why an instance is left out. To that end InstanceSelector names the reason behind isEligible, and ranks records that keep the parts of the score; the order, and the random numbers that it draws, are as before.

PlacementExplanationTestCase#explanationEqualsThePlacementOfACall holds the explanation against the choice and the eligibility of a second selector with the same history (200 drawn histories). ExplainWhereCommandTestCase runs the command against a node.

--- a/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
+++ b/jaywick-cli/src/main/java/io/jaywick/cli/CommandLineMain.java
@@ -13,6 +13,7 @@
 import io.jaywick.cli.check.PackCommand;
 import io.jaywick.cli.demo.DemoCommand;
 import io.jaywick.cli.explain.ExplainCommand;
+import io.jaywick.cli.explain.ExplainWhereCommand;
 import io.jaywick.cli.report.ReportCommand;
 import io.jaywick.cli.scenario.ScenarioCommand;
 import io.jaywick.cli.standin.StandinCommand;
@@ -43,6 +44,7 @@
         commands.add(new CheckCommand());
         commands.add(new DemoCommand());
         commands.add(new ExplainCommand());
+        commands.add(new ExplainWhereCommand());
         commands.add(new GenerateCommand());
         commands.add(new PackCommand());
         commands.add(new ReportCommand());
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
@@ -39,7 +39,7 @@
     private final Set<String> attempted = new HashSet<>();
     private int trialAttempts;
     private int hedgeAttempts;
-    private List<Instance> ranked = List.of();
+    private List<RankedInstance> ranked = List.of();
     private FleetView rankedView;
     private long rankedNanos;
     private boolean exhausted;
@@ -137,15 +137,21 @@
         FleetView view = fleet.get();
         long now = selector.nowNanos();
         if (view != rankedView || now - rankedNanos > MAX_RANKING_AGE_NANOS) {
-            ranked = selector.rank(view, service, homeRegions);
+            ranked = selector.rankWithScores(view, service, homeRegions);
             rankedView = view;
             rankedNanos = now;
         }
-        List<Instance> candidates = new ArrayList<>(ranked);
+        List<Instance> candidates = new ArrayList<>(ranked.size());
+        ranked.forEach(entry -> candidates.add(entry.instance()));
         candidates.removeIf(instance -> excluded.contains(instance.id()) || selector.isLeaving(instance));
         return candidates;
     }
 
+    /** Returns the ranking from which the last choice was made. */
+    List<RankedInstance> ranking() {
+        return ranked;
+    }
+
     private Choice choose(Instance instance, AttemptPurpose purpose) {
         attempted.add(instance.id());
         return new Choice(instance, purpose);
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -71,7 +71,12 @@
     }
 
     boolean isAvoided(long nowNanos) {
-        return avoided && nowNanos - avoidUntilNanos < 0;
+        return avoidedNanos(nowNanos) > 0;
+    }
+
+    /** Returns the nanoseconds for which the instance is still ranked last, 0 when it is not. */
+    long avoidedNanos(long nowNanos) {
+        return avoided ? Math.max(0, avoidUntilNanos - nowNanos) : 0;
     }
 
     /**
@@ -83,7 +88,7 @@
     }
 
     /** Returns the expected milliseconds until the answer of a call sent now; each attempt in flight adds one. */
-    double score(long nowNanos) {
-        return expected.weightedMillis(nowNanos) + inFlight;
+    InstanceScore score(long nowNanos) {
+        return new InstanceScore(expected.weightedMillis(nowNanos), inFlight);
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -28,6 +28,8 @@
 
     private static final double OTHER_REGION_PENALTY_MILLIS = 1_000;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final String host;
     private final String dataCentre;
     private final String region;
@@ -93,8 +95,6 @@
         return load(instance.id()).waitMillis(route, nanoTime.getAsLong());
     }
 
-    private record ScoredInstance(Instance instance, Distance distance, boolean unreliable, double score) {}
-
     /**
      * Returns the eligible instances in the order in which they are attempted. Instances that failed recently or were
      * superseded come last.
@@ -102,30 +102,53 @@
      * @param homeRegions regions in which the call may be processed; empty means any
      */
     public List<Instance> rank(FleetView view, String service, Set<String> homeRegions) {
-        long now = nanoTime.getAsLong();
-        List<ScoredInstance> scored = new ArrayList<>();
+        return rankWithScores(view, service, homeRegions).stream()
+                .map(RankedInstance::instance)
+                .toList();
+    }
+
+    /** Returns the same order as {@link #rank} with the values that it follows from. */
+    List<RankedInstance> rankWithScores(FleetView view, String service, Set<String> homeRegions) {
+        List<RankedInstance> ranked = new ArrayList<>();
         for (Instance instance : view.instancesOf(service)) {
             if (isEligible(view, instance, homeRegions)) {
-                InstanceLoad load = load(instance.id());
-                scored.add(new ScoredInstance(
-                        instance,
-                        distance(instance),
-                        load.isAvoided(now) || view.isSuperseded(instance),
-                        load.score(now) + random.nextDouble()));
+                ranked.add(ranked(view, instance));
             }
         }
-        scored.sort((a, b) -> {
-            int comparison = Boolean.compare(a.unreliable, b.unreliable);
-            comparison = comparison != 0 ? comparison : a.distance.compareTo(b.distance);
-            return comparison != 0 ? comparison : Double.compare(a.score, b.score);
-        });
-        List<Instance> ranked = new ArrayList<>(scored.size());
-        for (ScoredInstance entry : scored) {
-            ranked.add(entry.instance);
-        }
+        ranked.sort(null);
         return ranked;
     }
 
+    /** Returns the values by which an instance is ranked, whether it is eligible or not. */
+    RankedInstance ranked(FleetView view, Instance instance) {
+        long now = nanoTime.getAsLong();
+        InstanceLoad load = load(instance.id());
+        return new RankedInstance(
+                instance,
+                distance(instance),
+                load.isAvoided(now),
+                view.isSuperseded(instance),
+                load.score(now),
+                random.nextDouble());
+    }
+
+    /** Returns the milliseconds for which an instance is still ranked last, 0 when it is not. */
+    long avoidedMillis(Instance instance) {
+        return toMillisRoundedUp(load(instance.id()).avoidedNanos(nanoTime.getAsLong()));
+    }
+
+    /** Returns the milliseconds for which the region of an instance gets no trial attempts of a route. */
+    long regionBackoffMillis(Instance instance, String route) {
+        return distance(instance) == Distance.OTHER_REGION
+                ? toMillisRoundedUp(
+                        regionBackoff.remainingNanos(region(instance), instance.service(), route, nanoTime.getAsLong()))
+                : 0;
+    }
+
+    private static long toMillisRoundedUp(long nanos) {
+        return (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+    }
+
     long nowNanos() {
         return nanoTime.getAsLong();
     }
@@ -143,10 +166,22 @@
 
     /** Returns whether an instance may receive new calls. */
     public boolean isEligible(FleetView view, Instance instance, Set<String> homeRegions) {
-        return !instance.draining()
-                && !isLeaving(instance)
-                && !view.isEvacuated(instance.dataCentre())
-                && (homeRegions.isEmpty() || homeRegions.contains(region(instance)));
+        return exclusionOf(view, instance, homeRegions) == null;
+    }
+
+    /** Returns why an instance may not receive new calls, or null if it may. */
+    Exclusion exclusionOf(FleetView view, Instance instance, Set<String> homeRegions) {
+        if (instance.draining()) {
+            return Exclusion.DRAINING;
+        }
+        if (isLeaving(instance)) {
+            return Exclusion.LEAVING;
+        }
+        if (view.isEvacuated(instance.dataCentre())) {
+            return Exclusion.EVACUATED;
+        }
+        boolean isHome = homeRegions.isEmpty() || homeRegions.contains(region(instance));
+        return isHome ? null : Exclusion.OTHER_REGION;
     }
 
     public Distance distance(Instance instance) {
@@ -173,7 +208,7 @@
         for (Instance instance : candidates) {
             InstanceLoad load = load(instance.id());
             boolean unreliable = load.isAvoided(now) || view.isSuperseded(instance);
-            double millis = load.score(now) + distancePenaltyMillis(instance);
+            double millis = load.score(now).millis() + distancePenaltyMillis(instance);
             if (best == null || (unreliable == bestUnreliable ? millis < bestMillis : bestUnreliable)) {
                 best = instance;
                 bestUnreliable = unreliable;
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/RegionBackoff.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/RegionBackoff.java
@@ -54,7 +54,12 @@
     }
 
     boolean isBackingOff(String region, String service, String route, long nowNanos) {
+        return remainingNanos(region, service, route, nowNanos) > 0;
+    }
+
+    /** Returns the nanoseconds for which the region is still skipped, 0 when it is not. */
+    long remainingNanos(String region, String service, String route, long nowNanos) {
         Backoff backoff = backoffs.get(new Key(region, service, route));
-        return backoff != null && nowNanos - backoff.untilNanos < 0;
+        return backoff == null ? 0 : Math.max(0, backoff.untilNanos - nowNanos);
     }
 }
--- a/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/rules/RuleSet.java
@@ -79,6 +79,18 @@
         return null;
     }
 
+    /** Returns the route with a name, or null if there is none. */
+    public RouteRule routeNamed(String name) {
+        for (Map<String, RouteRule> byPrefix : routesByHost.values()) {
+            for (RouteRule route : byPrefix.values()) {
+                if (route.name().equals(name)) {
+                    return route;
+                }
+            }
+        }
+        return null;
+    }
+
     private static String hostName(String host) {
         int colon = host.lastIndexOf(':');
         boolean port = colon >= 0 && host.indexOf(']', colon) < 0;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -141,8 +141,9 @@
                         .runOn(loops, false)
                         .bindAddress(() -> parseAddress(settings.metricsAddress()))
                         .route(routes -> routes.get(
-                                "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
-                                        .sendString(Mono.fromSupplier(registry::scrape))))
+                                        "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
+                                                .sendString(Mono.fromSupplier(registry::scrape)))
+                                .get(PlacementHandler.PATH, new PlacementHandler(context, instanceSelector)::handle))
                         .bindNow();
         registry.gauge("jaywick.calls.inflight", outboundCalls, OutboundCalls::inFlight);
         registry.gauge("jaywick.retry.nodes", retryBudget, SharedRetryBudget::nodeCount);
@@ -170,6 +171,11 @@
         return address;
     }
 
+    /** Returns the address of the metrics, or null if there is none. */
+    public InetSocketAddress metricsAddress() {
+        return metricsServer == null ? null : (InetSocketAddress) metricsServer.address();
+    }
+
     /** Connections to peers need the identity of this node while it is still being constructed. */
     private boolean isDraining() {
         return drain != null && drain.isStarted();
