--- a/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/distribution/SourceKnowledge.java
@@ -33,6 +33,8 @@
     /** Maximum number of removals of former eras that are remembered. */
     private static final int MAX_FORMER_REMOVALS = 512;
 
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final RetentionPolicy retention;
     private final LongSupplier nanoTime;
     private final SourceReplica replica = new SourceReplica();
@@ -49,7 +51,7 @@
     /**
      * Creates the knowledge of a node that has read nothing.
      *
-     * @param nanoTime monotonic clock in nanoseconds
+     * @param nanoTime clock in nanoseconds for the time of retention, see {@link AnsweredTime}
      */
     public SourceKnowledge(RetentionPolicy retention, LongSupplier nanoTime) {
         this.retention = retention;
@@ -137,14 +139,27 @@
             }
         }
         replica.advanceTo(revision);
-        return usedChanges(listed);
+        return usedChanges(listed, keysOf(changes));
+    }
+
+    private static Set<String> keysOf(List<SourceEntry> entries) {
+        Set<String> keys = new HashSet<>();
+        entries.forEach(entry -> keys.add(entry.key()));
+        return keys;
     }
 
-    /** Ends the use of retained states that what is listed now replaces, and returns the changes of what is used. */
-    private List<SourceEntry> usedChanges(List<SourceEntry> listed) {
+    /**
+     * Ends the use of retained states that what is listed now replaces, and returns the changes of what is used.
+     *
+     * @param checkedKeys keys whose listed state may have changed; for the others the policy decides as before
+     */
+    private List<SourceEntry> usedChanges(List<SourceEntry> listed, Set<String> checkedKeys) {
         List<SourceEntry> changes = new ArrayList<>(listed);
         changes.removeIf(change -> retained.containsKey(change.key()));
         retained.values().removeIf(known -> {
+            if (!checkedKeys.contains(known.entry.key())) {
+                return false;
+            }
             SourceEntry state = replica.entryOrRemoval(known.entry.key());
             boolean isReplaced = retention.retentionMillis(known.entry, state, isWritten(state)) <= 0;
             if (isReplaced && !isSameState(known.entry, state)) {
@@ -176,10 +191,14 @@
         } else {
             SourceVersion heldBefore = version();
             List<SourceEntry> listed = replica.applyState(state);
+            Set<String> checkedKeys = keysOf(state.changed());
+            checkedKeys.addAll(keysOf(listed));
             if (hasSeenBefore(version, heldBefore)) {
                 eraStart = version.eraStart();
+                // Each listed state may now count as written in this era.
+                checkedKeys = Set.copyOf(retained.keySet());
             }
-            changes = usedChanges(listed);
+            changes = usedChanges(listed, checkedKeys);
         }
         if (hasNewerFormerPosition(version, version())) {
             state.retained().forEach(entry -> retainOfPeer(entry, changes));
@@ -297,7 +316,7 @@
         for (Retained known : retained.values()) {
             nanos = Math.min(nanos, known.untilNanos - now);
         }
-        return retained.isEmpty() ? -1 : Math.max(0, TimeUnit.NANOSECONDS.toMillis(nanos) + 1);
+        return retained.isEmpty() ? -1 : Math.max(0, (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
     }
 
     /**
--- a/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/fleet/FleetState.java
@@ -30,6 +30,12 @@
     private long graceUntilNanos;
     private boolean hasGracePeriod;
 
+    /**
+     * Creates the state of an empty fleet.
+     *
+     * @param nanoTime clock in nanoseconds for grace periods, which counts only time during which the platform is known
+     *     to be reachable
+     */
     public FleetState(LongSupplier nanoTime) {
         this.nanoTime = nanoTime;
     }
@@ -59,7 +65,7 @@
 
     /** Adds or replaces an instance that the platform lists. */
     public void put(Instance instance) {
-        retainedUntilNanos.remove(instance.id());
+        forgetRetention(instance.id());
         instances.put(instance.id(), instance);
     }
 
@@ -83,12 +89,17 @@
                 retained++;
             } else {
                 instances.remove(id);
-                retainedUntilNanos.remove(id);
+                forgetRetention(id);
             }
         }
         return retained;
     }
 
+    private void forgetRetention(String id) {
+        retainedUntilNanos.remove(id);
+        retainedUntilReachable.remove(id);
+    }
+
     /** Keeps the entries that are retained now until the platform is reachable; no instance can register before. */
     public void markUnreachable() {
         retainedUntilReachable.addAll(retainedUntilNanos.keySet());
