Rank instances by the service times that their nodes learn

Callers ranked instances at the same distance by a load report that is gone after two seconds, so that targets whose speed differs by a factor of three got the same number of calls.

The node beside a target now learns the service time of each route from successful answers and reports it, with the slots, in ForwardAnswer. At the caller's node an instance is ranked by the reported wait plus a draw of the service time, so that instances get calls in proportion to their speed and no node sends all calls to the fastest one on an old report. Fields that a node of the previous version lacks count as unknown.

Existing tests change only where the constructors of ForwardAnswer and RelaySettings have further parameters.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -8,6 +8,8 @@
 import java.util.Set;
 import java.util.function.LongSupplier;
 
+import io.jaywick.core.capacity.CapacityEstimator;
+
 /**
  * Admission control of the local target. At most as many calls run at the target as it has slots; further calls are
  * queued in the order of {@link CallOrder}. A call that cannot be answered before its deadline is refused at once, and
@@ -49,6 +51,8 @@
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier nanoTime;
+    private final boolean learnCapacity;
+    private final CapacityEstimator capacity = new CapacityEstimator();
     private final StartRateWindow recentStarts = new StartRateWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private final CallOrder order = new CallOrder(serviceTimes);
@@ -63,7 +67,32 @@
     private long shutdownNanos;
 
     public TargetGate(LongSupplier nanoTime) {
+        this(nanoTime, false);
+    }
+
+    /**
+     * Creates a gate that has no entry of its target yet.
+     *
+     * @param learnCapacity whether the service times of the target are learned and reported
+     */
+    public TargetGate(LongSupplier nanoTime, boolean learnCapacity) {
         this.nanoTime = nanoTime;
+        this.learnCapacity = learnCapacity;
+    }
+
+    /** Discards what was learned of the target, because another process has taken its place. */
+    public void targetStarted() {
+        capacity.reset();
+    }
+
+    /** Returns the learned service time of a route in milliseconds, -1 when unknown. */
+    public long serviceMillis(String route) {
+        return learnCapacity ? capacity.serviceMillis(route) : -1;
+    }
+
+    /** Returns the calls that the target runs concurrently, -1 when capacity is not learned. */
+    public int reportedLimit() {
+        return learnCapacity ? slots : -1;
     }
 
     public void setSlots(int slots) {
@@ -255,6 +284,15 @@
      * target that has become slow may answer no call in time.
      */
     public void release(GateCall call, boolean answered) {
+        release(call, answered, answered);
+    }
+
+    /**
+     * Releases the slot of a running call as {@link #release(GateCall, boolean)}.
+     *
+     * @param succeeded whether the call was answered with a success; a target that fails fast is not faster
+     */
+    public void release(GateCall call, boolean answered, boolean succeeded) {
         if (call.state != GateCall.State.RUNNING) {
             return;
         }
@@ -264,6 +302,9 @@
         if (answered || serviceNanos > serviceTimes.averageMillis(call.urgency.route()) * NANOS_PER_MILLI) {
             serviceTimes.record(call.urgency.route(), serviceNanos);
         }
+        if (learnCapacity) {
+            capacity.recordEnd(call.urgency.route(), serviceNanos, succeeded);
+        }
         dispatch();
     }
 
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/AttemptPlan.java
@@ -137,7 +137,7 @@
         FleetView view = fleet.get();
         long now = selector.nowNanos();
         if (view != rankedView || now - rankedNanos > MAX_RANKING_AGE_NANOS) {
-            ranked = selector.rank(view, service, homeRegions);
+            ranked = selector.rank(view, service, route, homeRegions);
             rankedView = view;
             rankedNanos = now;
         }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceLoad.java
@@ -18,10 +18,30 @@
     /** Longest time for which failures rank an instance last; once recovered, it receives calls within this time. */
     private static final long MAX_AVOID_MILLIS = 1_000;
 
+    /** A learned service time holds for this time without a newer report, several times that between two calls. */
+    private static final double SERVICE_TIME_HOLD_MILLIS = 3_000;
+
+    /**
+     * Afterwards its difference from the other instances loses half of its weight in this time, so that an instance that
+     * was reported as slow by mistake or for a while is tried again.
+     */
+    private static final double SERVICE_TIME_HALF_LIFE_MILLIS = 2_000;
+
+    /** An older service time does not contribute to the typical one, which a wrong report could otherwise distort. */
+    private static final double MAX_SERVICE_TIME_AGE_MILLIS = 10_000;
+
+    /**
+     * Greatest ratio between the service times of an instance and the typical one that the ranking uses. The targets of
+     * a service differ by a factor of up to three; a greater difference is an error, or a fault that ends.
+     */
+    private static final double MAX_SERVICE_TIME_RATIO = 4;
+
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private int inFlight;
     private final Map<String, Report> waitByRoute = new HashMap<>();
+    private final Map<String, Report> serviceByRoute = new HashMap<>();
+    private long concurrencyLimit = -1;
     private Report expected = Report.NONE;
     private long avoidUntilNanos;
     private int consecutiveFailures;
@@ -31,8 +51,12 @@
     private record Report(double millis, long nanos) {
         static final Report NONE = new Report(0, 0);
 
+        double ageMillis(long nowNanos) {
+            return (nowNanos - nanos) / NANOS_PER_MILLI;
+        }
+
         double weightedMillis(long nowNanos) {
-            double ageMillis = (nowNanos - nanos) / NANOS_PER_MILLI;
+            double ageMillis = ageMillis(nowNanos);
             return ageMillis > MAX_REPORT_AGE_MILLIS ? 0 : millis * Math.pow(0.5, ageMillis / REPORT_HALF_LIFE_MILLIS);
         }
     }
@@ -54,6 +78,46 @@
         waitByRoute.put(route, new Report(waitMillis, nowNanos));
     }
 
+    /** Records the learned capacity; -1 for a value that the instance does not know, for example after a restart. */
+    void recordCapacity(String route, long serviceMillis, long limit, long nowNanos) {
+        if (serviceMillis > 0) {
+            serviceByRoute.put(route, new Report(serviceMillis, nowNanos));
+        } else {
+            serviceByRoute.remove(route);
+        }
+        concurrencyLimit = limit;
+    }
+
+    /** Returns the last reported service time of a route, or NaN when none is known or it is old. */
+    double serviceMillis(String route, long nowNanos) {
+        Report report = serviceByRoute.get(route);
+        return report == null || report.ageMillis(nowNanos) > MAX_SERVICE_TIME_AGE_MILLIS ? Double.NaN : report.millis;
+    }
+
+    /**
+     * Returns the service time of a route that the ranking uses: the reported one, which moves towards the typical one
+     * when the report is old.
+     */
+    double serviceMillis(String route, double typicalMillis, long nowNanos) {
+        Report report = serviceByRoute.get(route);
+        if (report == null) {
+            return typicalMillis;
+        }
+        double ratio =
+                Math.min(MAX_SERVICE_TIME_RATIO, Math.max(1 / MAX_SERVICE_TIME_RATIO, report.millis / typicalMillis));
+        double oldMillis = report.ageMillis(nowNanos) - SERVICE_TIME_HOLD_MILLIS;
+        return typicalMillis * Math.pow(ratio, Math.pow(0.5, Math.max(0, oldMillis) / SERVICE_TIME_HALF_LIFE_MILLIS));
+    }
+
+    /** Returns the reported concurrency limit, or the given number of slots when none is known. */
+    double concurrencyLimit(int slots) {
+        return concurrencyLimit > 0 ? concurrencyLimit : Math.max(1, slots);
+    }
+
+    int inFlight() {
+        return inFlight;
+    }
+
     void recordSuccess() {
         consecutiveFailures = 0;
         avoided = false;
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.ToDoubleBiFunction;
 import java.util.random.RandomGenerator;
 
 import io.jaywick.core.fleet.FleetView;
@@ -96,13 +97,38 @@
     private record ScoredInstance(Instance instance, Distance distance, boolean unreliable, double score) {}
 
     /**
-     * Returns the eligible instances in the order in which they are attempted. Instances that failed recently or were
-     * superseded come last.
+     * Returns the eligible instances in the order in which they are attempted, ranked by their reported load only.
      *
      * @param homeRegions regions in which the call may be processed; empty means any
      */
     public List<Instance> rank(FleetView view, String service, Set<String> homeRegions) {
         long now = nanoTime.getAsLong();
+        return rank(view, service, homeRegions, (instance, load) -> load.score(now) + random.nextDouble());
+    }
+
+    /**
+     * Returns the eligible instances in the order in which they are attempted. Instances that failed recently or were
+     * superseded come last, and nearer ones come first. At the same distance they are ranked by the expected time until
+     * the answer to a call of the route, if the service time of the route is known of any of them.
+     *
+     * @param homeRegions regions in which the call may be processed; empty means any
+     */
+    public List<Instance> rank(FleetView view, String service, String route, Set<String> homeRegions) {
+        long now = nanoTime.getAsLong();
+        ExpectedTimes expectedTimes = ExpectedTimes.of(view.instancesOf(service), route, this::load, now);
+        if (expectedTimes == null) {
+            return rank(view, service, homeRegions);
+        }
+        return rank(
+                view,
+                service,
+                homeRegions,
+                (instance, load) -> expectedTimes.draw(load, instance.slots(), now, random.nextDouble()));
+    }
+
+    private List<Instance> rank(
+            FleetView view, String service, Set<String> homeRegions, ToDoubleBiFunction<Instance, InstanceLoad> score) {
+        long now = nanoTime.getAsLong();
         List<ScoredInstance> scored = new ArrayList<>();
         for (Instance instance : view.instancesOf(service)) {
             if (isEligible(view, instance, homeRegions)) {
@@ -111,7 +137,7 @@
                         instance,
                         distance(instance),
                         load.isAvoided(now) || view.isSuperseded(instance),
-                        load.score(now) + random.nextDouble()));
+                        score.applyAsDouble(instance, load)));
             }
         }
         scored.sort((a, b) -> {
@@ -209,6 +235,16 @@
         load(instanceId).recordReport(route, expectedMillis, waitMillis, nanoTime.getAsLong());
     }
 
+    /**
+     * Records the learned capacity that the node next to an instance reported.
+     *
+     * @param serviceMillis expected service time of the route, -1 when unknown
+     * @param concurrencyLimit calls that the target runs concurrently, -1 when unknown
+     */
+    public void recordCapacity(String instanceId, String route, long serviceMillis, long concurrencyLimit) {
+        load(instanceId).recordCapacity(route, serviceMillis, concurrencyLimit, nanoTime.getAsLong());
+    }
+
     public void recordSuccess(String instanceId) {
         load(instanceId).recordSuccess();
     }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallResult.java
@@ -13,6 +13,8 @@
  *     the call; else empty
  * @param expectedMillis time until the response to an average call that reaches the instance now; -1 when unknown
  * @param waitMillis wait of a call of the same route before it reaches the target; -1 when unknown
+ * @param serviceMillis expected service time of the route at the target, which includes no wait; -1 when unknown
+ * @param concurrencyLimit calls that the target runs concurrently; -1 when unknown
  */
 public record CallResult(
         Outcome outcome,
@@ -21,7 +23,9 @@
         List<String> headers,
         byte[] body,
         long expectedMillis,
-        long waitMillis) {
+        long waitMillis,
+        long serviceMillis,
+        long concurrencyLimit) {
 
     /** Reason of a call that reached a different instance than the chosen one and was not executed there. */
     static final String ANOTHER_INSTANCE = "another-instance";
@@ -49,11 +53,11 @@
     }
 
     static CallResult answered(int status, List<String> headers, byte[] body) {
-        return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1, -1);
+        return new CallResult(Outcome.ANSWERED, "status-" + status, status, headers, body, -1, -1, -1, -1);
     }
 
     static CallResult shed(String reason, List<String> headers) {
-        return new CallResult(Outcome.SHED, reason, 0, headers, EMPTY, -1, -1);
+        return new CallResult(Outcome.SHED, reason, 0, headers, EMPTY, -1, -1, -1, -1);
     }
 
     static CallResult refused(GateRefusal reason) {
@@ -61,19 +65,41 @@
     }
 
     static CallResult refused(String reason) {
-        return new CallResult(Outcome.REFUSED, reason, 0, List.of(), EMPTY, -1, -1);
+        return new CallResult(Outcome.REFUSED, reason, 0, List.of(), EMPTY, -1, -1, -1, -1);
     }
 
     static CallResult lost(String reason) {
-        return new CallResult(Outcome.LOST, reason, 0, List.of(), EMPTY, -1, -1);
+        return new CallResult(Outcome.LOST, reason, 0, List.of(), EMPTY, -1, -1, -1, -1);
     }
 
     static CallResult timedOut() {
-        return new CallResult(Outcome.TIMED_OUT, "deadline", 0, List.of(), EMPTY, -1, -1);
+        return new CallResult(Outcome.TIMED_OUT, "deadline", 0, List.of(), EMPTY, -1, -1, -1, -1);
     }
 
     CallResult withLoadEstimate(long expectedMillisNow, long waitMillisNow) {
-        return new CallResult(outcome, reason, status, headers, body, expectedMillisNow, waitMillisNow);
+        return new CallResult(
+                outcome,
+                reason,
+                status,
+                headers,
+                body,
+                expectedMillisNow,
+                waitMillisNow,
+                serviceMillis,
+                concurrencyLimit);
+    }
+
+    CallResult withCapacity(long serviceMillisNow, long concurrencyLimitNow) {
+        return new CallResult(
+                outcome,
+                reason,
+                status,
+                headers,
+                body,
+                expectedMillis,
+                waitMillis,
+                serviceMillisNow,
+                concurrencyLimitNow);
     }
 
     /** Whether the connection to the target broke before the response. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -26,6 +26,8 @@
     /** Interval at which queued calls are checked against their deadlines and the rate of starts. */
     private static final long QUEUE_CHECK_INTERVAL_MILLIS = 20;
 
+    private static final int STATUS_CLIENT_ERROR = 400;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RelayContext context;
@@ -43,7 +45,8 @@
 
     LocalTarget(RelayContext context, TargetPool pool, CrashSuspects suspects, NestedCalls nestedCalls) {
         this.context = context;
-        this.gate = new TargetGate(context.runtime().nanoTime());
+        this.gate =
+                new TargetGate(context.runtime().nanoTime(), context.settings().learnCapacity());
         this.statements = new TargetStatements(context, gate);
         this.pool = pool;
         this.suspects = suspects;
@@ -161,6 +164,7 @@
             startColdPeriod(coldMillis, "listed");
         }
         if (isNewInstance) {
+            gate.targetStarted();
             context.log()
                     .info(
                             "local target listed",
@@ -330,9 +334,10 @@
         return null;
     }
 
-    /** Adds the load of the target and the wait of another call like this one that arrives now. */
+    /** Adds the load and the capacity of the target, and the wait of another call like this one that arrives now. */
     private CallResult withLoadEstimate(CallResult result, ForwardCall call) {
-        return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)));
+        return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)))
+                .withCapacity(gate.serviceMillis(call.route()), gate.reportedLimit());
     }
 
     /** Returns the urgency of a call that arrives now with the times of the given one. */
@@ -411,7 +416,8 @@
             if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
                 viewChanged();
             }
-            gate.release(this, result.outcome() == CallResult.Outcome.ANSWERED);
+            boolean answered = result.outcome() == CallResult.Outcome.ANSWERED;
+            gate.release(this, answered, answered && result.status() < STATUS_CLIENT_ERROR);
             reportResult(withLoadEstimate(reported, call));
         }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -158,7 +158,8 @@
                         "instance",
                         attempt.instance().id());
         return CallResult.lost(CallResult.ANOTHER_REQUEST)
-                .withLoadEstimate(result.expectedMillis(), result.waitMillis());
+                .withLoadEstimate(result.expectedMillis(), result.waitMillis())
+                .withCapacity(result.serviceMillis(), result.concurrencyLimit());
     }
 
     private boolean removeAttempt(Attempt attempt) {
@@ -234,6 +235,14 @@
         if (result.expectedMillis() >= 0) {
             calls.instanceSelector()
                     .recordLoad(instance.id(), routed.route().name(), result.expectedMillis(), result.waitMillis());
+            if (calls.context().settings().learnCapacity()) {
+                calls.instanceSelector()
+                        .recordCapacity(
+                                instance.id(),
+                                routed.route().name(),
+                                result.serviceMillis(),
+                                result.concurrencyLimit());
+            }
         }
         if (ended) {
             return;
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PeerCalls.java
@@ -92,7 +92,9 @@
                         answer.headers(),
                         answer.body(),
                         answer.expectedMillis(),
-                        answer.waitMillis());
+                        answer.waitMillis(),
+                        knownOrUnknown(answer.serviceMillis()),
+                        knownOrUnknown(answer.concurrencyLimit()));
             } catch (IllegalArgumentException e) {
                 log.warning("peer sent an unknown call outcome", "outcome", answer.outcome());
                 return CallResult.lost("peer-answer");
@@ -101,6 +103,11 @@
         return CallResult.refused("peer-busy");
     }
 
+    /** Returns -1 for a field that is absent because the peer is of the previous version; it is then read as 0. */
+    private static long knownOrUnknown(long value) {
+        return value > 0 ? value : -1;
+    }
+
     /**
      * Converts a failed request to a result. A connection that could not be opened or a full queue proves that the call
      * did not leave this node, and a draining peer reports which calls it did not accept.
@@ -139,7 +146,9 @@
                 result.headers(),
                 result.body(),
                 result.expectedMillis(),
-                result.waitMillis());
+                result.waitMillis(),
+                result.serviceMillis(),
+                result.concurrencyLimit());
     }
 
     private CompletableFuture<Message> cancel(ForwardCancel cancel) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -24,6 +24,8 @@
  * @param graceMillis time between the request to stop and the forced end of the process
  * @param maxPropagationMillis shortest time within which a change published by the source must be active on every node
  * @param coldStartLimit calls that a cold target may get in excess of the rate that it sustains
+ * @param learnCapacity whether the service times and the concurrency limit of the local target are learned and reported,
+ *     and instances are ranked by what their nodes report of it
  */
 public record RelaySettings(
         String name,
@@ -44,7 +46,8 @@
         long retryWindowMillis,
         long graceMillis,
         long maxPropagationMillis,
-        ColdStartLimit coldStartLimit) {
+        ColdStartLimit coldStartLimit,
+        boolean learnCapacity) {
 
     /** Port at which every node accepts calls from other nodes. */
     int peerPort() {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -274,7 +274,8 @@
                 RETRY_WINDOW_MILLIS,
                 graceMillis,
                 2_000,
-                ColdStartLimit.NONE);
+                ColdStartLimit.NONE,
+                true);
     }
 
     /** Publishes a view in which one target serves two routes, one of them idempotent, with the given timeout. */
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TargetResponseMatchingTestCase.java
@@ -310,6 +310,8 @@
                                 "s"),
                         "done".getBytes(StandardCharsets.US_ASCII),
                         -1,
+                        -1,
+                        -1,
                         -1)));
         LoopResources loops = LoopResources.create("peer", 1, true);
         try (PeerServer peer = new PeerServer(
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/TimedOutAttemptTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/TimedOutAttemptTestCase.java
@@ -80,6 +80,8 @@
                     List.of("Request-Id", "first", "Stamp", "s"),
                     "ok".getBytes(StandardCharsets.US_ASCII),
                     -1,
+                    -1,
+                    -1,
                     -1));
         }
         CompletableFuture<Message> reply = new CompletableFuture<>();
@@ -91,7 +93,7 @@
     }
 
     private static ForwardAnswer timedOut() {
-        return new ForwardAnswer("TIMED_OUT", "deadline", 0, List.of(), new byte[0], -1, -1);
+        return new ForwardAnswer("TIMED_OUT", "deadline", 0, List.of(), new byte[0], -1, -1, -1, -1);
     }
 
     private String call(String id) throws IOException {
