Admit calls up to a learned concurrency limit

A target that slows down when it is nearly full answers fewer calls with all its slots in use, but the gate filled them all.

While a target is saturated, its node now compares the service times at two adjacent limits in short trials, in which it changes the limit itself, and lowers the limit where service times grow by more than the concurrency. Observed concurrency and service time cannot be used: they rise together whenever anything is slow. The limit lies between a quarter of the slots, at least 2, and the slots; a lowered target is probed upwards every 2 s.

--- a/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/GateCall.java
@@ -1,5 +1,7 @@
 package io.jaywick.core.gate;
 
+import io.jaywick.core.capacity.CapacityEstimator;
+
 /** A call that requests a slot of the target. */
 public abstract class GateCall {
 
@@ -9,6 +11,8 @@
     final boolean fromOtherRegion;
     State state = State.NEW;
     long startedNanos;
+    /** Null while the call does not run, or when the capacity of the target is not learned. */
+    CapacityEstimator.RunningCall capacityCall;
 
     enum State {
         NEW,
--- a/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/gate/TargetGate.java
@@ -11,9 +11,10 @@
 import io.jaywick.core.capacity.CapacityEstimator;
 
 /**
- * Admission control of the local target. At most as many calls run at the target as it has slots; further calls are
- * queued in the order of {@link CallOrder}. A call that cannot be answered before its deadline is refused at once, and
- * so is a trial attempt that would miss its objective, so that the caller can choose another instance. Not thread-safe.
+ * Admission control of the local target. At most as many calls run at the target as it has slots, or as it was learned to
+ * run well; further calls are queued in the order of {@link CallOrder}. A call that cannot be answered before its deadline
+ * is refused at once, and so is a trial attempt that would miss its objective, so that the caller can choose another
+ * instance. Not thread-safe.
  */
 public final class TargetGate {
 
@@ -51,8 +52,7 @@
     private static final double NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier nanoTime;
-    private final boolean learnCapacity;
-    private final CapacityEstimator capacity = new CapacityEstimator();
+    private final CapacityEstimator capacity;
     private final StartRateWindow recentStarts = new StartRateWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private final CallOrder order = new CallOrder(serviceTimes);
@@ -66,37 +66,27 @@
     private boolean hasShutdownDeadline;
     private long shutdownNanos;
 
+    /** Creates a gate that admits calls to all slots. */
     public TargetGate(LongSupplier nanoTime) {
-        this(nanoTime, false);
+        this(nanoTime, null);
     }
 
     /**
-     * Creates a gate that has no entry of its target yet.
+     * Creates a gate that admits as many calls as the target runs well.
      *
-     * @param learnCapacity whether the service times of the target are learned and reported
+     * @param capacity learns from the calls; null to admit calls to all slots
      */
-    public TargetGate(LongSupplier nanoTime, boolean learnCapacity) {
+    public TargetGate(LongSupplier nanoTime, CapacityEstimator capacity) {
         this.nanoTime = nanoTime;
-        this.learnCapacity = learnCapacity;
-    }
-
-    /** Discards what was learned of the target, because another process has taken its place. */
-    public void targetStarted() {
-        capacity.reset();
-    }
-
-    /** Returns the learned service time of a route in milliseconds, -1 when unknown. */
-    public long serviceMillis(String route) {
-        return learnCapacity ? capacity.serviceMillis(route) : -1;
-    }
-
-    /** Returns the calls that the target runs concurrently, -1 when capacity is not learned. */
-    public int reportedLimit() {
-        return learnCapacity ? slots : -1;
+        this.capacity = capacity;
     }
 
+    /** Sets the number of calls that the target accepts, which the learned limit never exceeds. */
     public void setSlots(int slots) {
         this.slots = Math.max(1, slots);
+        if (capacity != null) {
+            capacity.setSlots(this.slots);
+        }
         dispatch();
     }
 
@@ -172,7 +162,8 @@
             return GateRefusal.LEAVING;
         }
         GateRefusal exhaustedBudget = findExhaustedBudget(now);
-        boolean hasFreeSlot = running() < slots && waiting.isEmpty() && exhaustedBudget == null;
+        int limit = limit(now);
+        boolean hasFreeSlot = running() < limit && waiting.isEmpty() && exhaustedBudget == null;
         double serviceMillis = serviceTimes.averageMillis(call.urgency.route());
         double expectedAnswerNanos = now + (expectedWaitMillis(call.urgency, now) + serviceMillis) * NANOS_PER_MILLI;
         double latestAnswerNanos = call.urgency.objectiveNanos()
@@ -181,7 +172,7 @@
         if (call.trial && (running() > 0 || exhaustedBudget != null) && expectedAnswerNanos > latestAnswerNanos) {
             return exhaustedBudget == null ? GateRefusal.BUSY : exhaustedBudget;
         }
-        boolean hasSpareSlots = running() + waiting.size() < slots * SPARE_FRACTION;
+        boolean hasSpareSlots = running() + waiting.size() < limit * SPARE_FRACTION;
         if (call.trial && call.fromOtherRegion && !hasSpareSlots || call.hedge && (!hasSpareSlots || isCold())) {
             return GateRefusal.BUSY;
         }
@@ -196,10 +187,23 @@
         } else {
             call.state = GateCall.State.WAITING;
             waiting.add(call);
+            updateCapacity(now);
         }
         return null;
     }
 
+    /** Returns the number of calls that may run now. */
+    private int limit(long now) {
+        return capacity == null ? slots : Math.min(slots, capacity.limitNow(now));
+    }
+
+    private void updateCapacity(long now) {
+        if (capacity != null) {
+            // A call that waits for the rate of starts does not show that all slots are taken.
+            capacity.update(running(), findExhaustedBudget(now) == null ? waiting.size() : 0, now);
+        }
+    }
+
     private boolean mayOutlastShutdown(CallUrgency call, long now) {
         double longMillis = SHUTDOWN_SERVICE_FACTOR * serviceTimes.averageMillis(call.route());
         return hasShutdownDeadline
@@ -241,8 +245,9 @@
 
     /** Returns the wait behind calls with the given total service time: for a slot, and for the rate of starts. */
     private double waitMillis(int ahead, double aheadServiceMillis, long now) {
-        boolean hasFreeSlot = running() < slots && waiting.isEmpty();
-        double slotWaitMillis = hasFreeSlot ? 0 : millisUntilFreeSlot() + aheadServiceMillis / slots;
+        int limit = limit(now);
+        boolean hasFreeSlot = running() < limit && waiting.isEmpty();
+        double slotWaitMillis = hasFreeSlot ? 0 : millisUntilFreeSlot() + aheadServiceMillis / limit;
         return Math.max(slotWaitMillis, Math.max(coldWaitMillis(ahead, now), rateLimitWaitMillis(ahead, now)));
     }
 
@@ -298,12 +303,13 @@
         }
         call.state = GateCall.State.ENDED;
         runningCalls.remove(call);
-        long serviceNanos = nanoTime.getAsLong() - call.startedNanos;
+        long now = nanoTime.getAsLong();
+        long serviceNanos = now - call.startedNanos;
         if (answered || serviceNanos > serviceTimes.averageMillis(call.urgency.route()) * NANOS_PER_MILLI) {
             serviceTimes.record(call.urgency.route(), serviceNanos);
         }
-        if (learnCapacity) {
-            capacity.recordEnd(call.urgency.route(), serviceNanos, succeeded);
+        if (capacity != null) {
+            capacity.recordEnd(call.capacityCall, succeeded, running(), now);
         }
         dispatch();
     }
@@ -327,12 +333,14 @@
      */
     public void dispatch() {
         long now = nanoTime.getAsLong();
+        updateCapacity(now);
         refuseLateCalls(now);
-        while (running() < slots && !waiting.isEmpty() && findExhaustedBudget(now) == null) {
+        while (running() < limit(now) && !waiting.isEmpty() && findExhaustedBudget(now) == null) {
             GateCall next = mostUrgent(now);
             waiting.remove(next);
             start(next, now);
         }
+        updateCapacity(now);
     }
 
     /** Refuses waiting calls that more urgent ones have overtaken, as soon as they would be served too late. */
@@ -370,6 +378,9 @@
         call.startedNanos = now;
         runningCalls.add(call);
         recentStarts.recordStart(now);
+        if (capacity != null) {
+            call.capacityCall = capacity.recordStart(call.urgency.route(), running(), now);
+        }
         call.onAdmitted();
     }
 
--- a/jaywick-core/src/test/java/io/jaywick/core/capacity/ServiceTimesTestCase.java
+++ b/jaywick-core/src/test/java/io/jaywick/core/capacity/ServiceTimesTestCase.java
@@ -15,11 +15,14 @@
 
     private static final String ROUTE = "route";
 
-    private final CapacityEstimator estimator = new CapacityEstimator();
+    private final CapacityEstimator estimator = new CapacityEstimator(8);
     private final Random random = new Random(3);
+    private long nowNanos;
 
     private void end(String route, double millis, boolean succeeded) {
-        estimator.recordEnd(route, (long) (millis * TimeUnit.MILLISECONDS.toNanos(1)), succeeded);
+        CapacityEstimator.RunningCall call = estimator.recordStart(route, 1, nowNanos);
+        nowNanos += (long) (millis * TimeUnit.MILLISECONDS.toNanos(1));
+        estimator.recordEnd(call, succeeded, 0, nowNanos);
     }
 
     private void serve(int calls, double meanMillis) {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -31,6 +31,7 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RelayContext context;
+    private final LearnedCapacity capacity;
     private final TargetGate gate;
     private final TargetStatements statements;
     private final TargetPool pool;
@@ -45,8 +46,8 @@
 
     LocalTarget(RelayContext context, TargetPool pool, CrashSuspects suspects, NestedCalls nestedCalls) {
         this.context = context;
-        this.gate =
-                new TargetGate(context.runtime().nanoTime(), context.settings().learnCapacity());
+        this.capacity = new LearnedCapacity(context);
+        this.gate = capacity.createGate();
         this.statements = new TargetStatements(context, gate);
         this.pool = pool;
         this.suspects = suspects;
@@ -93,6 +94,10 @@
         return gate.isCold();
     }
 
+    LearnedCapacity capacity() {
+        return capacity;
+    }
+
     /** Calls per second that the target accepts, as it states; {@link Double#NaN} if it names no limit. */
     double rateLimit() {
         return statements.callsPerSecond();
@@ -113,6 +118,7 @@
                             () -> {
                                 queueCheckScheduled = false;
                                 gate.dispatch();
+                                capacity.logChange(current, gate);
                                 scheduleQueueCheck();
                             },
                             QUEUE_CHECK_INTERVAL_MILLIS,
@@ -164,7 +170,7 @@
             startColdPeriod(coldMillis, "listed");
         }
         if (isNewInstance) {
-            gate.targetStarted();
+            capacity.targetStarted();
             context.log()
                     .info(
                             "local target listed",
@@ -211,6 +217,9 @@
     }
 
     private void startColdPeriod(long millis, String cause) {
+        if (millis > 0) {
+            capacity.targetCold();
+        }
         ServiceRule rule =
                 context.fleet().get().rules().service(context.settings().service());
         if (rule == null || rule.coldCallsPerSecond() <= 0) {
@@ -336,8 +345,9 @@
 
     /** Adds the load and the capacity of the target, and the wait of another call like this one that arrives now. */
     private CallResult withLoadEstimate(CallResult result, ForwardCall call) {
-        return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)))
-                .withCapacity(gate.serviceMillis(call.route()), gate.reportedLimit());
+        capacity.logChange(current, gate);
+        return capacity.addTo(
+                result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call))), call.route());
     }
 
     /** Returns the urgency of a call that arrives now with the times of the given one. */
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -148,6 +148,10 @@
         registry.gauge("jaywick.retry.nodes", retryBudget, SharedRetryBudget::nodeCount);
         registry.gauge("jaywick.target.running", localTarget, LocalTarget::running);
         registry.gauge("jaywick.target.waiting", localTarget, LocalTarget::waiting);
+        registry.gauge("jaywick.target.limit", localTarget.capacity(), LearnedCapacity::limit);
+        registry.gauge("jaywick.target.inflation", localTarget.capacity(), LearnedCapacity::inflationFactor);
+        registry.more()
+                .counter("jaywick.target.limit.moves", Tags.empty(), localTarget.capacity(), LearnedCapacity::moves);
         registry.gauge("jaywick.target.cold", localTarget, target -> target.isCold() ? 1 : 0);
         registry.gauge("jaywick.target.rate.limit", localTarget, LocalTarget::rateLimit);
         registry.gauge("jaywick.target.leaving", localTarget, target -> target.isLeaving() ? 1 : 0);
