--- a/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/InstanceSelector.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import java.util.function.ToDoubleBiFunction;
 import java.util.random.RandomGenerator;
 
 import io.jaywick.core.fleet.FleetView;
@@ -97,23 +98,48 @@
     }
 
     /**
-     * Returns the eligible instances in the order in which they are attempted. Instances that failed recently or were
-     * superseded come last.
+     * Returns the eligible instances in the order in which they are attempted, ranked by their reported load only.
      *
      * @param homeRegions regions in which the call may be processed; empty means any
      */
     public List<Instance> rank(FleetView view, String service, Set<String> homeRegions) {
-        return rankWithScores(view, service, homeRegions).stream()
+        return rankWithScores(view, service, homeRegions, this::rankByLoad).stream()
                 .map(RankedInstance::instance)
                 .toList();
     }
 
-    /** Returns the same order as {@link #rank} with the values that it follows from. */
-    List<RankedInstance> rankWithScores(FleetView view, String service, Set<String> homeRegions) {
+    /**
+     * Returns the eligible instances in the order in which they are attempted. Instances that failed recently or were
+     * superseded come last, and nearer ones come first. At the same distance they are ranked by the expected time until
+     * the answer to a call of the route, if the service time of the route is known of any of them.
+     *
+     * @param homeRegions regions in which the call may be processed; empty means any
+     */
+    List<RankedInstance> rankWithScores(FleetView view, String service, String route, Set<String> homeRegions) {
+        long now = nanoTime.getAsLong();
+        ExpectedTimes expectedTimes = ExpectedTimes.of(view.instancesOf(service), route, this::load, now);
+        return rankWithScores(
+                view,
+                service,
+                homeRegions,
+                expectedTimes == null
+                        ? this::rankByLoad
+                        : (instance, load) -> expectedTimes.draw(load, instance.slots(), now, random.nextDouble()));
+    }
+
+    private double rankByLoad(Instance instance, InstanceLoad load) {
+        return load.score(nanoTime.getAsLong()).millis() + random.nextDouble();
+    }
+
+    private List<RankedInstance> rankWithScores(
+            FleetView view,
+            String service,
+            Set<String> homeRegions,
+            ToDoubleBiFunction<Instance, InstanceLoad> expectedMillis) {
         List<RankedInstance> ranked = new ArrayList<>();
         for (Instance instance : view.instancesOf(service)) {
             if (isEligible(view, instance, homeRegions)) {
-                ranked.add(ranked(view, instance));
+                ranked.add(ranked(view, instance, expectedMillis.applyAsDouble(instance, load(instance.id()))));
             }
         }
         ranked.sort(null);
@@ -122,6 +148,10 @@
 
     /** Returns the values by which an instance is ranked, whether it is eligible or not. */
     RankedInstance ranked(FleetView view, Instance instance) {
+        return ranked(view, instance, rankByLoad(instance, load(instance.id())));
+    }
+
+    private RankedInstance ranked(FleetView view, Instance instance, double expectedMillis) {
         long now = nanoTime.getAsLong();
         InstanceLoad load = load(instance.id());
         return new RankedInstance(
@@ -130,7 +160,7 @@
                 load.isAvoided(now),
                 view.isSuperseded(instance),
                 load.score(now),
-                random.nextDouble());
+                expectedMillis);
     }
 
     /** Returns the milliseconds for which an instance is still ranked last, 0 when it is not. */
@@ -150,6 +180,16 @@
         return (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
     }
 
+    /** Returns the learned service time of a route at an instance in milliseconds, or -1 when it is unknown. */
+    double serviceMillis(Instance instance, String route) {
+        double millis = load(instance.id()).serviceMillis(route, nanoTime.getAsLong());
+        return Double.isNaN(millis) ? -1 : millis;
+    }
+
+    double concurrencyLimit(Instance instance) {
+        return load(instance.id()).concurrencyLimit(instance.slots());
+    }
+
     long nowNanos() {
         return nanoTime.getAsLong();
     }
@@ -211,8 +251,7 @@
             InstanceLoad load = load(instance.id());
             double score = load.score(now).millis();
             boolean unreliable = isUnreliable(view, instance, now);
-            double millis =
-                    score + distancePenaltyMillis(instance, score, ownRegionMillis, route, times);
+            double millis = score + distancePenaltyMillis(instance, score, ownRegionMillis, route, times);
             if (best == null || (unreliable == bestUnreliable ? millis < bestMillis : bestUnreliable)) {
                 best = instance;
                 bestUnreliable = unreliable;
@@ -275,6 +314,16 @@
         load(instanceId).recordReport(route, expectedMillis, waitMillis, nanoTime.getAsLong());
     }
 
+    /**
+     * Records the learned capacity that the node next to an instance reported.
+     *
+     * @param serviceMillis expected service time of the route, -1 when unknown
+     * @param concurrencyLimit calls that the target runs concurrently, -1 when unknown
+     */
+    public void recordCapacity(String instanceId, String route, long serviceMillis, long concurrencyLimit) {
+        load(instanceId).recordCapacity(route, serviceMillis, concurrencyLimit, nanoTime.getAsLong());
+    }
+
     public void recordSuccess(String instanceId) {
         load(instanceId).recordSuccess();
     }
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/PlacementExplanation.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/PlacementExplanation.java
@@ -25,7 +25,10 @@
      * @param exclusion reason why it is left out, or null
      * @param reportedMillis reported time until the answer of an average call, reduced by the age of the report
      * @param inFlight attempts of this node in flight at the instance
-     * @param scoreMillis score by which instances at the same distance are ranked
+     * @param scoreMillis score by which instances at the same distance are ranked while no service time of the route is known
+     * @param expectedMillis expected time by which they are ranked now, with its random part
+     * @param serviceMillis learned service time of the route, or -1 when it is unknown
+     * @param concurrencyLimit calls that the instance runs at once, as its node reported, or its slots
      * @param waitMillis reported wait of a call of the route, reduced by the age of the report
      * @param avoidedMillis time for which it is still ranked last, because it failed or refused for good; 0 if it is not
      * @param superseded whether it is ranked last, because a later start is listed at its address
@@ -40,6 +43,9 @@
             double reportedMillis,
             int inFlight,
             double scoreMillis,
+            double expectedMillis,
+            double serviceMillis,
+            double concurrencyLimit,
             double waitMillis,
             long avoidedMillis,
             boolean superseded,
@@ -95,6 +101,9 @@
                 ranked.score().reportedMillis(),
                 ranked.score().inFlight(),
                 ranked.score().millis(),
+                ranked.expectedMillis(),
+                selector.serviceMillis(instance, route),
+                selector.concurrencyLimit(instance),
                 selector.waitMillis(instance, route),
                 selector.avoidedMillis(instance),
                 ranked.superseded(),
--- a/jaywick-core/src/main/java/io/jaywick/core/placement/RankedInstance.java
+++ b/jaywick-core/src/main/java/io/jaywick/core/placement/RankedInstance.java
@@ -7,7 +7,7 @@
  *
  * @param avoided whether it failed recently or asked to be avoided
  * @param superseded whether a later start is listed at its address
- * @param tieBreakMillis random part of less than a millisecond, which distributes calls over equal instances
+ * @param expectedMillis expected time until the answer, with a random part that distributes calls over the instances
  */
 record RankedInstance(
         Instance instance,
@@ -15,7 +15,7 @@
         boolean avoided,
         boolean superseded,
         InstanceScore score,
-        double tieBreakMillis)
+        double expectedMillis)
         implements Comparable<RankedInstance> {
 
     boolean isUnreliable() {
@@ -27,8 +27,6 @@
     public int compareTo(RankedInstance other) {
         int comparison = Boolean.compare(isUnreliable(), other.isUnreliable());
         comparison = comparison != 0 ? comparison : distance.compareTo(other.distance);
-        return comparison != 0
-                ? comparison
-                : Double.compare(score.millis() + tieBreakMillis, other.score.millis() + other.tieBreakMillis);
+        return comparison != 0 ? comparison : Double.compare(expectedMillis, other.expectedMillis);
     }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/LocalTarget.java
@@ -26,9 +26,12 @@
     /** Interval at which queued calls are checked against their deadlines and the rate of starts. */
     private static final long QUEUE_CHECK_INTERVAL_MILLIS = 20;
 
+    private static final int STATUS_CLIENT_ERROR = 400;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RelayContext context;
+    private final LearnedCapacity capacity;
     private final TargetGate gate;
     private final TargetStatements statements;
     private final TargetPool pool;
@@ -49,7 +52,8 @@
             NestedCalls nestedCalls,
             NestedAdmission nestedAdmission) {
         this.context = context;
-        this.gate = new TargetGate(context.runtime().nanoTime());
+        this.capacity = new LearnedCapacity(context);
+        this.gate = capacity.createGate();
         this.statements = new TargetStatements(context, gate);
         this.pool = pool;
         this.suspects = suspects;
@@ -101,6 +105,10 @@
         return gate.isCold();
     }
 
+    LearnedCapacity capacity() {
+        return capacity;
+    }
+
     /** Calls per second that the target accepts, as it states; {@link Double#NaN} if it names no limit. */
     double rateLimit() {
         return statements.callsPerSecond();
@@ -121,6 +129,7 @@
                             () -> {
                                 queueCheckScheduled = false;
                                 gate.dispatch();
+                                capacity.logChange(current, gate);
                                 scheduleQueueCheck();
                             },
                             QUEUE_CHECK_INTERVAL_MILLIS,
@@ -172,6 +181,7 @@
             startColdPeriod(coldMillis, "listed");
         }
         if (isNewInstance) {
+            capacity.targetStarted();
             context.log()
                     .info(
                             "local target listed",
@@ -218,6 +228,9 @@
     }
 
     private void startColdPeriod(long millis, String cause) {
+        if (millis > 0) {
+            capacity.targetCold();
+        }
         ServiceRule rule =
                 context.fleet().get().rules().service(context.settings().service());
         if (rule == null || rule.coldCallsPerSecond() <= 0) {
@@ -345,9 +358,11 @@
         return null;
     }
 
-    /** Adds the load of the target and the wait of another call like this one that arrives now. */
+    /** Adds the load and the capacity of the target, and the wait of another call like this one that arrives now. */
     private CallResult withLoadEstimate(CallResult result, ForwardCall call) {
-        return result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call)));
+        capacity.logChange(current, gate);
+        return capacity.addTo(
+                result.withLoadEstimate(gate.expectedMillis(), gate.waitMillis(urgencyNow(call))), call.route());
     }
 
     /** Returns the urgency of a call that arrives now with the times of the given one. */
@@ -426,7 +441,8 @@
             if (result.reason().equals(CallResult.ANOTHER_INSTANCE)) {
                 viewChanged();
             }
-            gate.release(this, result.outcome() == CallResult.Outcome.ANSWERED);
+            boolean answered = result.outcome() == CallResult.Outcome.ANSWERED;
+            gate.release(this, answered, answered && result.status() < STATUS_CLIENT_ERROR);
             reportResult(withLoadEstimate(reported, call));
         }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/PlacementHandler.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/PlacementHandler.java
@@ -153,6 +153,9 @@
         fields.put("slots", row.instance().slots());
         fields.put("coldMillis", row.instance().coldMillis(context.nanoTime()));
         fields.put("scoreMillis", rounded(row.scoreMillis()));
+        fields.put("expectedMillis", rounded(row.expectedMillis()));
+        fields.put("serviceMillis", rounded(row.serviceMillis()));
+        fields.put("concurrencyLimit", rounded(row.concurrencyLimit()));
         fields.put("reportedMillis", rounded(row.reportedMillis()));
         fields.put("inFlight", row.inFlight());
         fields.put("waitMillis", rounded(row.waitMillis()));
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/RelaySettings.java
@@ -28,6 +28,8 @@
  * @param maxKeyAgeMillis time since the last answer of the source after which keys of client accounts count as
  *     unverified; {@link Long#MAX_VALUE} if the node goes on with the rules that it holds
  * @param quotaBounds bound on the calls of a client account over all nodes, relative to its limit
+ * @param learnCapacity whether the service times and the concurrency limit of the local target are learned and reported,
+ *     and instances are ranked by what their nodes report of it
  */
 public record RelaySettings(
         String name,
@@ -50,7 +52,8 @@
         long maxPropagationMillis,
         ColdStartLimit coldStartLimit,
         long maxKeyAgeMillis,
-        QuotaBounds quotaBounds) {
+        QuotaBounds quotaBounds,
+        boolean learnCapacity) {
 
     /** Port at which every node accepts calls from other nodes. */
     int peerPort() {
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/PeerCallsTestCase.java
@@ -47,7 +47,7 @@
     private static CallResult resultOf(String outcome, int status) {
         PeerCalls calls = new PeerCalls(
                 (address, message) -> CompletableFuture.completedFuture(new ForwardAnswer(
-                        outcome, "status-" + status, status, List.of("Stamp", "s"), new byte[0], 7, 8)),
+                        outcome, "status-" + status, status, List.of("Stamp", "s"), new byte[0], 7, 8, -1, -1)),
                 null,
                 new RelayLog(System.getLogger("test"), () -> 0L));
         List<CallResult> received = new ArrayList<>();
--- a/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
+++ b/jaywick-node/src/test/java/io/jaywick/node/relay/RelayFixture.java
@@ -284,7 +284,8 @@
                 2_000,
                 ColdStartLimit.NONE,
                 Long.MAX_VALUE,
-                QuotaBounds.DEFAULTS);
+                QuotaBounds.DEFAULTS,
+                true);
     }
 
     /** Publishes a view in which one target serves two routes, one of them idempotent, with the given timeout. */
