Bundle what calls of client accounts depend on

Cause: the merge of accounts and quotas left OutboundCalls with eight parameters, one more than the style allows. AccountAccess holds two of them.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCalls.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.jaywick.core.fleet.FleetView;
@@ -30,11 +29,10 @@
     private final InstanceSelector instanceSelector;
     private final SharedRetryBudget retryBudget;
     private final HedgeDelay hedgeDelay = new HedgeDelay();
-    private final AccountQuotas accountQuotas;
+    private final AccountAccess accountAccess;
     private final LocalTarget localTarget;
     private final PeerCalls peerCalls;
     private final RelayMeters meters;
-    private final BooleanSupplier rulesOutdated;
     private final ObservedRateLimits rateLimits;
     private final Map<String, SmoothWeightedRoundRobin<ServiceWeight>> weightsByRoute = new HashMap<>();
     private final int peerPort;
@@ -45,24 +43,21 @@
     private final String callIdPrefix;
     private long lastCallNumber;
 
-    /** @param rulesOutdated whether the rules are too old to know which keys of client accounts were removed */
     OutboundCalls(
             RelayContext context,
             InstanceSelector instanceSelector,
             SharedRetryBudget retryBudget,
-            AccountQuotas accountQuotas,
+            AccountAccess accountAccess,
             LocalTarget localTarget,
             PeerCalls peerCalls,
-            RelayMeters meters,
-            BooleanSupplier rulesOutdated) {
+            RelayMeters meters) {
         this.context = context;
         this.instanceSelector = instanceSelector;
         this.retryBudget = retryBudget;
-        this.accountQuotas = accountQuotas;
+        this.accountAccess = accountAccess;
         this.localTarget = localTarget;
         this.peerCalls = peerCalls;
         this.meters = meters;
-        this.rulesOutdated = rulesOutdated;
         this.rateLimits = new ObservedRateLimits(context.names().rateLimit());
         this.peerPort = context.settings().peerPort();
         // Other nodes may read messages about the calls of an earlier process of this host late.
@@ -116,7 +111,7 @@
                 request.headers().getAll(context.names().credential()),
                 requestId,
                 localTarget.runningRequests(),
-                rulesOutdated.getAsBoolean());
+                accountAccess.rulesOutdated().getAsBoolean());
     }
 
     /**
@@ -231,7 +226,7 @@
     }
 
     AccountQuotas accountQuotas() {
-        return accountQuotas;
+        return accountAccess.quotas();
     }
 
     HedgeDelay hedgeDelay() {
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -132,11 +132,10 @@
                 context,
                 instanceSelector,
                 retryBudget,
-                accountQuotas,
+                new AccountAccess(accountQuotas, () -> sourceState.ageMillis() > settings.maxKeyAgeMillis()),
                 localTarget,
                 peerCalls,
-                meters,
-                () -> sourceState.ageMillis() > settings.maxKeyAgeMillis());
+                meters);
         this.peerServer = new PeerServer(settings.peerAddress(), handlers, codec, traffic, limits, loops);
         this.clientListener = new ClientListener(context, outboundCalls);
         this.drain = new RelayDrain(
