Give the log lines of a call a class of their own

OutboundCallLog writes its log lines, and CallToken holds the times of a quota; what is logged and decided stays as it is.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/CallToken.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/CallToken.java
@@ -1,6 +1,7 @@
 package io.jaywick.node.relay;
 
 import java.util.function.LongConsumer;
+import java.util.random.RandomGenerator;
 
 import io.jaywick.core.limits.QuotaCall;
 import io.jaywick.core.rules.ClientAccount;
@@ -8,6 +9,17 @@
 /** The token that one call takes from the quota of its account; a call without an account needs none. */
 final class CallToken implements QuotaCall {
 
+    /** A call waits for a token for at most a quarter of its objective, within bounds. */
+    private static final long WAIT_DIVISOR = 4;
+
+    /** A holder in another region that has to borrow answers within this time. */
+    private static final long MIN_WAIT_MILLIS = 100;
+
+    private static final long MAX_WAIT_MILLIS = 300;
+
+    /** Callers that return sooner would mostly be refused again, and each refusal costs as much as a request. */
+    private static final long MIN_RETRY_MILLIS = 100;
+
     private final AccountQuotas quotas;
     private final ClientAccount account;
     private final Runnable onAdmitted;
@@ -68,4 +80,15 @@
         }
         state = State.NONE;
     }
+
+    /** Returns how long a call with the given latency objective waits for its token. */
+    static long maxWaitMillis(long objectiveMillis) {
+        return Math.min(Math.max(objectiveMillis / WAIT_DIVISOR, MIN_WAIT_MILLIS), MAX_WAIT_MILLIS);
+    }
+
+    /** Returns the retry time of a refused call, with jitter: callers refused together would otherwise retry together. */
+    static long retryAfterMillis(long expectedMillis, RandomGenerator random) {
+        long millis = Math.max(MIN_RETRY_MILLIS, expectedMillis);
+        return millis + random.nextLong(millis / 2 + 1);
+    }
 }
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/OutboundCall.java
@@ -49,17 +49,6 @@
     /** Such a call can succeed only after a change of the rules or contact to their source, which takes a second or more. */
     private static final long NEWER_RULES_WAIT_MILLIS = 1_000;
 
-    /** A call waits for a token for at most a quarter of its objective, within bounds. */
-    private static final long QUOTA_WAIT_DIVISOR = 4;
-
-    /** A holder in another region that has to borrow answers within this time. */
-    private static final long MIN_QUOTA_WAIT_MILLIS = 100;
-
-    private static final long MAX_QUOTA_WAIT_MILLIS = 300;
-
-    /** Callers that return sooner would mostly be refused again, and each refusal costs as much as a request. */
-    private static final long MIN_QUOTA_RETRY_MILLIS = 100;
-
     private static final int STATUS_SERVER_FAILURE = 500;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -68,6 +57,7 @@
     private final Consumer<ClientResponse> onResponse;
     private final String requestId;
     private final CallResponses responses;
+    private final OutboundCallLog log;
     private final CallHistory history = new CallHistory();
     private final List<Attempt> openAttempts = new ArrayList<>();
     private ClientAccount account;
@@ -89,6 +79,7 @@
         this.onResponse = onResponse;
         this.responses = new CallResponses(calls.context().runtime().random());
         this.requestId = request.headers().get(calls.context().names().requestId());
+        this.log = new OutboundCallLog(calls.context().log(), requestId);
     }
 
     void start() {
@@ -136,34 +127,20 @@
     /** Takes a token of the account's quota before the first attempt. */
     private void takeToken() {
         token = new CallToken(calls.accountQuotas(), routed.account(), this::startAdmitted, this::refuseOverQuota);
-        token.take(Math.min(
-                Math.max(routed.route().objectiveMillis() / QUOTA_WAIT_DIVISOR, MIN_QUOTA_WAIT_MILLIS),
-                MAX_QUOTA_WAIT_MILLIS));
+        token.take(CallToken.maxWaitMillis(routed.route().objectiveMillis()));
     }
 
     private void refuseOverQuota(long retryAfterMillis) {
         calls.meters().countAccountOutcome(OVER_QUOTA);
-        long millis = Math.max(MIN_QUOTA_RETRY_MILLIS, retryAfterMillis);
-        // Without jitter, callers that were refused together would retry together.
-        long jitterMillis = calls.context().runtime().random().nextLong(millis / 2 + 1);
-        respond(ClientResponse.generated(ClientResponse.TOO_MANY_REQUESTS, OVER_QUOTA, millis + jitterMillis));
+        long millis = CallToken.retryAfterMillis(
+                retryAfterMillis, calls.context().runtime().random());
+        respond(ClientResponse.generated(ClientResponse.TOO_MANY_REQUESTS, OVER_QUOTA, millis));
     }
 
     /** Refuses a call that its caller may not make. */
     private void refuseCaller(Outcome outcome, RouteRule route) {
         calls.meters().countAccountOutcome(outcome.label());
-        calls.context()
-                .log()
-                .refusalEvent(
-                        "caller refused",
-                        "requestId",
-                        requestId,
-                        "route",
-                        route.name(),
-                        "account",
-                        accountName(),
-                        "reason",
-                        outcome.label());
+        log.callerRefused(route, account, outcome.label());
         if (outcome.lacksKey()) {
             respond(ClientResponse.generated(ClientResponse.UNAUTHORIZED, outcome.label(), 0));
         } else {
@@ -310,20 +287,7 @@
             return;
         }
         calls.meters().countHedged();
-        calls.context()
-                .log()
-                .callEvent(
-                        "call hedged",
-                        "requestId",
-                        requestId,
-                        "route",
-                        routed.route().name(),
-                        "lateInstance",
-                        openAttempts.get(0).instance().id(),
-                        "instance",
-                        choice.instance().id(),
-                        "elapsedMillis",
-                        elapsedMillis());
+        log.hedged(routed, openAttempts.get(0).instance(), choice.instance(), elapsedMillis());
         startAttempt(choice);
     }
 
@@ -480,7 +444,7 @@
                 && canRetry()
                 && tryWithdrawRetry();
         if (allowed) {
-            calls.context().log().callEvent("call retried", "requestId", requestId, "reason", result.reason());
+            log.retried(result.reason());
             attemptNext();
         } else {
             respond(responses.failure(result.reason()));
@@ -521,22 +485,7 @@
             return;
         }
         calls.meters().countCancelled();
-        calls.context()
-                .log()
-                .callEvent(
-                        "caller disconnected",
-                        "requestId",
-                        requestId,
-                        "route",
-                        routeName(),
-                        "service",
-                        serviceName(),
-                        "account",
-                        accountName(),
-                        "instances",
-                        history,
-                        "elapsedMillis",
-                        elapsedMillis());
+        log.callerDisconnected(routed, account, history, elapsedMillis());
         finish();
     }
 
@@ -549,30 +498,13 @@
         long millis = elapsedMillis();
         calls.meters().recordResponse(routeName(), response.status(), millis);
         if (response.status() >= STATUS_SERVER_FAILURE) {
-            calls.context()
-                    .log()
-                    .callEvent(
-                            "call failed",
-                            "requestId",
-                            requestId,
-                            "route",
-                            routeName(),
-                            "service",
-                            serviceName(),
-                            "account",
-                            accountName(),
-                            "rulesVersion",
-                            calls.fleet().rules().version(),
-                            "status",
-                            response.status(),
-                            "reason",
-                            responses.reason(),
-                            "instances",
-                            history,
-                            "elapsedMillis",
-                            millis,
-                            "remainingMillis",
-                            routed == null ? 0 : remainingMillis());
+            log.failed(
+                    routed,
+                    account,
+                    calls.fleet().rules().version(),
+                    response.status(),
+                    responses.reason(),
+                    new OutboundCallLog.Progress(history, millis, routed == null ? 0 : remainingMillis()));
         }
         onResponse.accept(response);
     }
@@ -604,14 +536,6 @@
         return routed == null ? "" : routed.route().name();
     }
 
-    private String serviceName() {
-        return routed == null ? "" : routed.service();
-    }
-
-    private String accountName() {
-        return account == null ? "" : account.name();
-    }
-
     private void finish() {
         ended = true;
         if (token != null) {
