--- a/jaywick-cli/src/test/java/io/jaywick/cli/explain/ExplainWhereCommandTestCase.java
+++ b/jaywick-cli/src/test/java/io/jaywick/cli/explain/ExplainWhereCommandTestCase.java
@@ -10,6 +10,7 @@
 import io.jaywick.core.fleet.FleetView;
 import io.jaywick.core.fleet.Instance;
 import io.jaywick.core.gate.ColdStartLimit;
+import io.jaywick.core.limits.QuotaBounds;
 import io.jaywick.core.rules.CallerLimits;
 import io.jaywick.core.rules.RouteRule;
 import io.jaywick.core.rules.RuleSet;
@@ -60,12 +61,25 @@
                 10_000,
                 6_000,
                 2_000,
-                ColdStartLimit.NONE);
-        HeaderNames names =
-                new HeaderNames("Id", "D", "St", "Ex", "No", "Ca", "In", "Co", List.of("Li"), List.of("Le"));
+                ColdStartLimit.NONE,
+                Long.MAX_VALUE,
+                QuotaBounds.DEFAULTS,
+                true);
+        HeaderNames names = new HeaderNames(
+                "Id", "D", "St", "Ex", "No", "Ca", "In", "Co", List.of("Li"), List.of("Le"), "Cr", "Ac");
         node = new Relay(settings, names, runtime, new PrometheusMeterRegistry(PrometheusConfig.DEFAULT));
         RouteRule route = new RouteRule(
-                "read", "h", "/read/", true, 1_000, 300, 1, 2, Set.of("a"), List.of(new ServiceWeight("books", 1)));
+                "read",
+                "h",
+                "/read/",
+                true,
+                1_000,
+                300,
+                1,
+                2,
+                Set.of("a"),
+                List.of(new ServiceWeight("books", 1)),
+                false);
         node.updateView(new FleetView(
                 new RuleSet(7, List.of(route), List.of(), CallerLimits.DEFAULTS),
                 List.of(instance("i-1", "127.0.0.2", "a1"), instance("i-2", "127.0.0.3", "b1")),
