--- a/jaywick-node/src/main/java/io/jaywick/node/frame/FrameCodec.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/frame/FrameCodec.java
@@ -53,7 +53,7 @@
      * @throws FrameException if the message is too long
      */
     public byte[] encode(int version, long id, Message message) {
-        MessagePackWriter writer = new MessagePackWriter();
+        MessagePackWriter writer = new MessagePackWriter(LENGTH_BYTES + 1);
         writer.beginMap(ENVELOPE_FIELDS);
         writer.name("type");
         writer.text(message.getClass().getSimpleName());
@@ -61,10 +61,8 @@
         writer.whole(id);
         writer.name("body");
         message.writeTo(writer);
-        byte[] envelope = writer.bytes();
-        byte[] frame = new byte[LENGTH_BYTES + 1 + envelope.length];
+        byte[] frame = writer.bytes();
         frame[LENGTH_BYTES] = (byte) version;
-        System.arraycopy(envelope, 0, frame, LENGTH_BYTES + 1, envelope.length);
         int length = frame.length - LENGTH_BYTES;
         if (length > MAX_LENGTH_BYTES) {
             throw new FrameException("too-long", id, false, "message of " + length + " bytes");
--- a/jaywick-node/src/main/java/io/jaywick/node/frame/MessagePackBounds.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/frame/MessagePackBounds.java
@@ -24,6 +24,19 @@
         return bounds.checkValue(0) && bounds.position == end;
     }
 
+    /**
+     * Returns the position after one value of a range that {@link #isValid} has accepted.
+     *
+     * @throws IllegalArgumentException if no complete value starts at the position
+     */
+    static int endOfValue(byte[] bytes, int position, int end) {
+        MessagePackBounds bounds = new MessagePackBounds(bytes, position, end);
+        if (!bounds.checkValue(0)) {
+            throw new IllegalArgumentException("no complete value at byte " + position);
+        }
+        return bounds.position;
+    }
+
     private boolean checkValue(int depth) {
         if (depth > MAX_DEPTH || position >= end) {
             return false;
