Write log lines and Retry-After without data binding and format strings

Cause: the first log line loaded the serializers of ObjectMapper, and each refusal ran String.format. Change: the logger uses the streaming generator, and the seconds of Retry-After are put together from two numbers. The text of both is the same.

--- a/jaywick-node/src/main/java/io/jaywick/node/log/JsonLogger.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/log/JsonLogger.java
@@ -1,7 +1,9 @@
 package io.jaywick.node.log;
 
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.io.UncheckedIOException;
 import java.text.MessageFormat;
 import java.time.Instant;
 import java.time.InstantSource;
@@ -12,8 +14,8 @@
 import java.util.ResourceBundle;
 import java.util.function.Consumer;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 
 /**
  * Logger that writes one JSON object per line with the fields time, level, logger, message, node, error, then the
@@ -22,7 +24,8 @@
  */
 final class JsonLogger implements System.Logger {
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    /** Without data binding, whose serializers cost processor time at the first lines of a process. */
+    private static final JsonFactory JSON = new JsonFactory();
 
     private final String name;
     private final Level threshold;
@@ -94,16 +97,39 @@
         line.put("error", error == null ? null : stackTrace(error));
         for (LogField field : fields) {
             if (field.name().equals("node")) {
-                line.put("node", field.value());
+                line.put("node", toJsonValue(field.value()));
             } else {
                 line.putIfAbsent(field.name(), toJsonValue(field.value()));
             }
         }
         line.values().removeIf(value -> value == null);
-        try {
-            lineConsumer.accept(JSON.writeValueAsString(line));
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("log line cannot be serialized as JSON", e);
+        lineConsumer.accept(toJson(line));
+    }
+
+    private static String toJson(Map<String, Object> line) {
+        StringWriter text = new StringWriter();
+        try (JsonGenerator json = JSON.createGenerator(text)) {
+            json.writeStartObject();
+            for (Map.Entry<String, Object> field : line.entrySet()) {
+                json.writeFieldName(field.getKey());
+                writeValue(json, field.getValue());
+            }
+            json.writeEndObject();
+        } catch (IOException e) {
+            throw new UncheckedIOException("log line cannot be written as JSON", e);
+        }
+        return text.toString();
+    }
+
+    private static void writeValue(JsonGenerator json, Object value) throws IOException {
+        if (value instanceof Boolean flag) {
+            json.writeBoolean(flag);
+        } else if (value instanceof Double || value instanceof Float) {
+            json.writeNumber(((Number) value).doubleValue());
+        } else if (value instanceof Number) {
+            json.writeNumber(value.toString());
+        } else {
+            json.writeString((String) value);
         }
     }
 
--- a/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.ArrayDeque;
-import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 
 import io.jaywick.core.rules.CallerLimits;
@@ -37,7 +36,7 @@
     /** A request that the caller sent on a new connection is read within this time, also on a busy machine. */
     private static final long NEW_CONNECTION_MILLIS = 500;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long MILLIS_PER_SECOND = 1_000;
 
     private final ClientListener listener;
     private final ArrayDeque<ClientRequest> pipelined = new ArrayDeque<>();
@@ -270,10 +269,7 @@
             message.headers().set(idName, id);
         }
         if (response.retryAfterMillis() > 0) {
-            message.headers()
-                    .set(
-                            HttpHeaderNames.RETRY_AFTER,
-                            String.format(Locale.ROOT, "%.3f", response.retryAfterMillis() / MILLIS_PER_SECOND));
+            message.headers().set(HttpHeaderNames.RETRY_AFTER, secondsWithMillis(response.retryAfterMillis()));
         }
         HttpUtil.setContentLength(message, response.body().length);
         if (close) {
@@ -283,6 +279,12 @@
         context.writeAndFlush(message).addListener(written -> responseFlushed(close));
     }
 
+    /** Returns a time in seconds with three decimals. A format string would cost more than the rest of a refusal. */
+    static String secondsWithMillis(long millis) {
+        String decimals = Long.toString(MILLIS_PER_SECOND + millis % MILLIS_PER_SECOND);
+        return millis / MILLIS_PER_SECOND + "." + decimals.substring(1);
+    }
+
     /** Rejects the request being received, after the responses to the requests before it. */
     private void reject(int status, String reason) {
         inputEnded = true;
