Serve the readiness probe and the metrics from a small server

Cause: two servers of Reactor Netty loaded its HTTP server at each start for two fixed pages. Change: StatusServer consists of the codec that the relay loads anyway. Other paths and methods get 404 as before.

--- a/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/relay/Relay.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
@@ -18,6 +19,7 @@
 import io.jaywick.core.retry.NestedCalls;
 import io.jaywick.core.rules.RuleSet;
 import io.jaywick.node.frame.FrameCodec;
+import io.jaywick.node.http.StatusServer;
 import io.jaywick.node.peer.LinkLimits;
 import io.jaywick.node.peer.MessageHandlers;
 import io.jaywick.node.peer.PeerServer;
@@ -27,9 +29,6 @@
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.netty.channel.EventLoop;
-import reactor.core.publisher.Mono;
-import reactor.netty.DisposableServer;
-import reactor.netty.http.server.HttpServer;
 import reactor.netty.resources.LoopResources;
 
 /**
@@ -72,8 +71,8 @@
     private final ClientListener clientListener;
     private final PeerServer peerServer;
     private final TcpPeerLink link;
-    private final DisposableServer readyServer;
-    private final DisposableServer metricsServer;
+    private final StatusServer readyServer;
+    private final StatusServer metricsServer;
     private final LongSupplier nanoTime;
     private final SourceExchange sourceExchange;
     private final DeferredSourceState sourceState = new DeferredSourceState();
@@ -128,22 +127,14 @@
         this.clientListener = new ClientListener(context, outboundCalls);
         this.drain = new RelayDrain(
                 context, localTarget, outboundCalls, peerCalls, clientListener, peerServer, sourceExchange);
-        this.readyServer = HttpServer.create()
-                .runOn(loops, false)
-                .bindAddress(() -> parseAddress(settings.readyAddress()))
-                .route(routes -> routes.get(settings.readyPath(), (request, response) -> response.status(
-                                isReady && !isDraining() ? STATUS_OK : STATUS_UNAVAILABLE)
-                        .send()))
-                .bindNow();
+        this.readyServer = new StatusServer(
+                loop, parseAddress(settings.readyAddress()), Map.of(settings.readyPath(), this::readiness));
         this.metricsServer = settings.metricsAddress() == null
                 ? null
-                : HttpServer.create()
-                        .runOn(loops, false)
-                        .bindAddress(() -> parseAddress(settings.metricsAddress()))
-                        .route(routes -> routes.get(
-                                "/metrics", (request, response) -> response.header("Content-Type", "text/plain")
-                                        .sendString(Mono.fromSupplier(registry::scrape))))
-                        .bindNow();
+                : new StatusServer(
+                        loop,
+                        parseAddress(settings.metricsAddress()),
+                        Map.of("/metrics", () -> new StatusServer.Page(STATUS_OK, "text/plain", registry.scrape())));
         registry.gauge("jaywick.calls.inflight", outboundCalls, OutboundCalls::inFlight);
         registry.gauge("jaywick.retry.nodes", retryBudget, SharedRetryBudget::nodeCount);
         registry.gauge("jaywick.target.running", localTarget, LocalTarget::running);
@@ -170,6 +161,10 @@
         return address;
     }
 
+    private StatusServer.Page readiness() {
+        return new StatusServer.Page(isReady && !isDraining() ? STATUS_OK : STATUS_UNAVAILABLE, null, "");
+    }
+
     /** Connections to peers need the identity of this node while it is still being constructed. */
     private boolean isDraining() {
         return drain != null && drain.isStarted();
@@ -273,9 +268,9 @@
         peerServer.close();
         link.close();
         pool.close();
-        readyServer.disposeNow();
+        readyServer.close();
         if (metricsServer != null) {
-            metricsServer.disposeNow();
+            metricsServer.close();
         }
     }
 }
