Carry frames between nodes on plain channels

Cause: each frame passed the operators of Reactor Netty, and each start loaded its TCP client and server. Change: FrameChannel is a handler behind the same frame decoder; the loops, limits and failure kinds are unchanged.

--- a/jaywick-node/src/main/java/io/jaywick/node/peer/FrameChannel.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/FrameChannel.java
@@ -1,5 +1,6 @@
 package io.jaywick.node.peer;
 
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
@@ -7,34 +8,42 @@
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.frame.FrameException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.TooLongFrameException;
-import reactor.netty.Connection;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 
 /** Sends and receives frames over one connection, with a bounded number of frames queued for the socket. */
 final class FrameChannel {
 
-    private final Connection connection;
+    private final Channel channel;
     private final FrameCodec codec;
     private final PeerTraffic traffic;
     private final int capacity;
     private final AtomicInteger queued = new AtomicInteger();
 
-    FrameChannel(Connection connection, FrameCodec codec, PeerTraffic traffic, LinkLimits limits) {
-        this.connection = connection;
+    /** Adds the handlers of frames to a new channel; {@link #receive} must be called before it reads. */
+    FrameChannel(Channel channel, FrameCodec codec, PeerTraffic traffic, LinkLimits limits) {
+        this.channel = channel;
         this.codec = codec;
         this.traffic = traffic;
         this.capacity = limits.maxQueuedMessages();
-        connection.addHandlerLast(new LengthFieldBasedFrameDecoder(
-                FrameCodec.MAX_LENGTH_BYTES + FrameCodec.LENGTH_BYTES,
-                0,
-                FrameCodec.LENGTH_BYTES,
-                0,
-                FrameCodec.LENGTH_BYTES));
-        connection.onReadIdle(limits.idleTimeoutMillis(), this::close);
+        channel.pipeline()
+                .addLast(
+                        new IdleStateHandler(limits.idleTimeoutMillis(), 0, 0, TimeUnit.MILLISECONDS),
+                        new LengthFieldBasedFrameDecoder(
+                                FrameCodec.MAX_LENGTH_BYTES + FrameCodec.LENGTH_BYTES,
+                                0,
+                                FrameCodec.LENGTH_BYTES,
+                                0,
+                                FrameCodec.LENGTH_BYTES));
     }
 
     /** Writes a frame; returns false, without writing it, if the queue is full. */
@@ -45,7 +54,7 @@
         }
         byte[] frame = codec.encode(version, id, message);
         traffic.recordSent(frame.length);
-        connection.channel().writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(done -> queued.decrementAndGet());
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(done -> queued.decrementAndGet());
         return true;
     }
 
@@ -58,7 +67,7 @@
     void sendAndClose(int version, long id, Message message) {
         byte[] frame = codec.encode(version, id, message);
         traffic.recordSent(frame.length);
-        connection.channel().writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(ChannelFutureListener.CLOSE);
+        channel.writeAndFlush(Unpooled.wrappedBuffer(frame)).addListener(ChannelFutureListener.CLOSE);
     }
 
     /**
@@ -66,43 +75,66 @@
      * connection. Any other failure closes the connection.
      */
     void receive(Consumer<Frame> onFrame, Consumer<FrameException> onFault) {
-        connection
-                .inbound()
-                .receive()
-                .asByteArray()
-                .subscribe(
-                        bytes -> {
-                            traffic.recordReceived(bytes.length + FrameCodec.LENGTH_BYTES);
-                            Frame frame;
-                            try {
-                                frame = codec.decode(bytes);
-                            } catch (FrameException e) {
-                                traffic.recordRejected();
-                                onFault.accept(e);
-                                return;
-                            }
-                            onFrame.accept(frame);
-                        },
-                        failure -> {
-                            if (isCausedByTooLongFrame(failure)) {
-                                traffic.recordRejected();
-                                onFault.accept(codec.tooLongException());
-                            } else {
-                                close();
-                            }
-                        });
+        channel.pipeline().addLast(new FrameHandler(onFrame, onFault));
+    }
+
+    private final class FrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Consumer<Frame> onFrame;
+        private final Consumer<FrameException> onFault;
+        private boolean failed;
+
+        FrameHandler(Consumer<Frame> onFrame, Consumer<FrameException> onFault) {
+            this.onFrame = onFrame;
+            this.onFault = onFault;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf buffer) {
+            if (failed) {
+                return;
+            }
+            byte[] bytes = ByteBufUtil.getBytes(buffer);
+            traffic.recordReceived(bytes.length + FrameCodec.LENGTH_BYTES);
+            Frame frame;
+            try {
+                frame = codec.decode(bytes);
+            } catch (FrameException e) {
+                traffic.recordRejected();
+                onFault.accept(e);
+                return;
+            }
+            onFrame.accept(frame);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent) {
+                close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable failure) {
+            if (!failed && isCausedByTooLongFrame(failure)) {
+                traffic.recordRejected();
+                onFault.accept(codec.tooLongException());
+            } else {
+                close();
+            }
+            failed = true;
+        }
     }
 
     Channel channel() {
-        return connection.channel();
+        return channel;
     }
 
     void onClose(Runnable action) {
-        connection.onDispose(action::run);
+        channel.closeFuture().addListener(closed -> action.run());
     }
 
     void close() {
-        connection.channel().close();
+        channel.close();
     }
 
     private static boolean isCausedByTooLongFrame(Throwable failure) {
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerConnection.java
@@ -20,11 +20,13 @@
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.frame.FrameException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import reactor.netty.Connection;
-import reactor.netty.resources.ConnectionProvider;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
 import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpClient;
 
 /** An outgoing connection and its pending requests. Thread-safe. */
 final class PeerConnection {
@@ -81,12 +83,31 @@
             }
             started = true;
         }
-        TcpClient.create(ConnectionProvider.newConnection())
-                .runOn(loops)
-                .remoteAddress(() -> PeerAddress.parse(address))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMillis())
-                .connect()
-                .subscribe(this::onConnected, failure -> terminate(failure, false));
+        EventLoopGroup group = loops.onClient(LoopResources.DEFAULT_NATIVE);
+        try {
+            new Bootstrap()
+                    .group(group)
+                    .channelFactory(() -> loops.onChannel(SocketChannel.class, group))
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, limits.connectTimeoutMillis())
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel opened) {
+                            prepare(opened);
+                        }
+                    })
+                    .connect(PeerAddress.parse(address))
+                    .addListener(connect -> {
+                        if (connect.isSuccess()) {
+                            onConnected();
+                        } else {
+                            terminate(connect.cause(), false);
+                        }
+                    });
+        } catch (RuntimeException e) {
+            // The address is malformed, or the event loop is shut down.
+            terminate(e, false);
+        }
     }
 
     String address() {
@@ -126,16 +147,19 @@
         terminate(new PeerException(PeerException.Kind.DISCONNECTED, "the link is closed"), true);
     }
 
-    private void onConnected(Connection connection) {
+    private synchronized void prepare(Channel opened) {
+        channel = new FrameChannel(opened, codec, traffic, limits);
+        channel.receive(this::onFrame, fault -> terminate(fault, true));
+    }
+
+    private void onConnected() {
         synchronized (this) {
-            channel = new FrameChannel(connection, codec, traffic, limits);
             if (closed) {
                 channel.close();
                 return;
             }
         }
         channel.onClose(() -> terminate(null, true));
-        channel.receive(this::onFrame, fault -> terminate(fault, true));
         // Peers with the previous or the next protocol version accept a Hello in the newest version of this side.
         channel.send(codec.maxVersion(), HELLO_ID, hello);
         scheduleTimeout(HELLO_ID, helloTimeoutMillis());
--- a/jaywick-node/src/main/java/io/jaywick/node/peer/PeerServer.java
+++ b/jaywick-node/src/main/java/io/jaywick/node/peer/PeerServer.java
@@ -10,10 +10,13 @@
 import io.jaywick.node.frame.Frame;
 import io.jaywick.node.frame.FrameCodec;
 import io.jaywick.node.frame.FrameException;
-import reactor.netty.Connection;
-import reactor.netty.DisposableServer;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.ServerSocketChannel;
 import reactor.netty.resources.LoopResources;
-import reactor.netty.tcp.TcpServer;
 
 /**
  * Accepts connections of peers and answers each frame with the reply of its handler. A frame that cannot be decoded is
@@ -21,7 +24,10 @@
  */
 public final class PeerServer implements AutoCloseable {
 
-    private final DisposableServer server;
+    /** Length of the accept queue; it holds the connections of peers that notice a restart at the same time. */
+    private static final int BACKLOG = 1_000;
+
+    private final Channel server;
     private final FrameCodec codec;
     private final MessageHandler handler;
     private final PeerTraffic traffic;
@@ -46,20 +52,30 @@
         this.traffic = traffic;
         this.limits = limits;
         InetSocketAddress bind = PeerAddress.parse(address);
-        this.server = TcpServer.create()
-                .runOn(loops)
-                .bindAddress(() -> bind)
-                .doOnConnection(this::accept)
-                .handle((in, out) -> out.neverComplete())
-                .bindNow();
+        EventLoopGroup acceptors = loops.onServerSelect(LoopResources.DEFAULT_NATIVE);
+        this.server = new ServerBootstrap()
+                .group(acceptors, loops.onServer(LoopResources.DEFAULT_NATIVE))
+                .channelFactory(() -> loops.onChannel(ServerSocketChannel.class, acceptors))
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel accepted) {
+                        accept(accepted);
+                    }
+                })
+                .bind(bind)
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** Returns the address IP:PORT on which the server listens. */
     public String address() {
-        return PeerAddress.format((InetSocketAddress) server.address());
+        return PeerAddress.format((InetSocketAddress) server.localAddress());
     }
 
-    private void accept(Connection connection) {
+    private void accept(Channel connection) {
         FrameChannel channel = new FrameChannel(connection, codec, traffic, limits);
         AcceptedConnection accepted = new AcceptedConnection(channel, handler, codec, limits);
         connections.add(accepted);
@@ -114,6 +130,6 @@
 
     @Override
     public void close() {
-        server.disposeNow();
+        server.close().syncUninterruptibly();
     }
 }
