--- a/review/standins-2/StatusCase.java
+++ b/review/standins-2/StatusTrial.java
@@ -5,18 +5,18 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A booking server fails part of the requests that it has run with 503, without stating that they were not executed. */
-final class StatusCase {
+/** A trial, not a case: a booking server fails part of the requests that it has run with 503, without stating that they were not executed. */
+final class StatusTrial {
 
     private static final double FAILED_SHARE = 0.45;
     private static final int CLIENTS = 4;
     private static final int BOOKINGS = 20;
     private static final int RETRIES = 2;
 
-    private StatusCase() {}
+    private StatusTrial() {}
 
     public static void main(String[] args) {
-        Deployment.runCase(args, StatusCase::run);
+        Deployment.runCase(args, StatusTrial::run);
     }
 
     private static boolean run(Deployment deployment, boolean trouble) throws Exception {
