--- a/review/standins-2/DownloadCase.java
+++ b/review/standins-2/DownloadCase.java
@@ -20,7 +20,7 @@
                 Thread.sleep(4_000);
             }
             DownloadClient.Totals totals = new DownloadClient.Totals();
-            DownloadClient.runAll(deployment, totals, CLIENTS, REQUESTS, LINK_BITS_PER_SECOND);
+            DownloadClient.runAll(deployment, totals, CLIENTS, REQUESTS, LINK_BITS_PER_SECOND, true);
             boolean broken = totals.endedConnections.get() > MAX_CLOSED;
             String verdict = totals + "; LOST " + (broken ? "is broken" : "holds");
             deployment.log.line(verdict);
--- a/review/standins-2/DownloadClient.java
+++ b/review/standins-2/DownloadClient.java
@@ -39,12 +39,14 @@
     private final Totals totals;
     private final int requests;
     private final int bytesPerSecond;
+    private final boolean startsAlone;
 
-    DownloadClient(Deployment deployment, Totals totals, int requests, int bitsPerSecond) {
+    DownloadClient(Deployment deployment, Totals totals, int requests, int bitsPerSecond, boolean startsAlone) {
         this.deployment = deployment;
         this.totals = totals;
         this.requests = requests;
         this.bytesPerSecond = bitsPerSecond / 8;
+        this.startsAlone = startsAlone;
     }
 
     /** Starts a plan server beside the first node, and a map server beside the second one. */
@@ -80,12 +82,13 @@
     }
 
     /** Runs clients side by side and waits for all of them. */
-    static void runAll(Deployment deployment, Totals totals, int count, int requests, int bitsPerSecond)
+    static void runAll(
+            Deployment deployment, Totals totals, int count, int requests, int bitsPerSecond, boolean startAlone)
             throws InterruptedException {
         deployment.log.line(count + " clients send " + requests + " downloads each");
         List<Thread> clients = new ArrayList<>();
         for (int c = 0; c < count; c++) {
-            Thread client = new Thread(new DownloadClient(deployment, totals, requests, bitsPerSecond), "client");
+            Thread client = new Thread(new DownloadClient(deployment, totals, requests, bitsPerSecond, startAlone), "client");
             client.setDaemon(true);
             client.start();
             clients.add(client);
@@ -108,6 +111,11 @@
         return body;
     }
 
+    private static String head(String id) {
+        return "GET /plans/sheet HTTP/1.1\r\nHost: " + Deployment.ROUTE_HOST + "\r\nJaywick-Request-Id: " + id
+                + "\r\nJaywick-Deadline-Ms: " + DEADLINE_MILLIS + "\r\n\r\n";
+    }
+
     @Override
     public void run() {
         List<String> ids = new ArrayList<>();
@@ -116,16 +124,23 @@
             socket.setReceiveBufferSize(64 << 10);
             socket.connect(new InetSocketAddress(deployment.ip(0), deployment.outboundPort), 1000);
             socket.setSoTimeout((int) DEADLINE_MILLIS);
-            StringBuilder head = new StringBuilder();
+            InputStream in = new BufferedInputStream(socket.getInputStream(), 16 << 10);
+            if (startsAlone) {
+                // With its first answer the connection is a kept one.
+                String id = Client.newId();
+                deployment.log.line("sent alone: " + id);
+                Http.write(socket.getOutputStream(), head(id), new byte[0]);
+                Http.Message first = Http.head(in);
+                judge(id, first, readBody(in, Integer.parseInt(first.header("Content-Length")), 0, System.nanoTime()));
+            }
+            StringBuilder heads = new StringBuilder();
             for (int i = 0; i < requests; i++) {
                 String id = Client.newId();
                 ids.add(id);
-                head.append("GET /plans/sheet HTTP/1.1\r\nHost: " + Deployment.ROUTE_HOST + "\r\nJaywick-Request-Id: " + id
-                        + "\r\nJaywick-Deadline-Ms: " + DEADLINE_MILLIS + "\r\n\r\n");
+                heads.append(head(id));
             }
             deployment.log.line("sent on one connection: " + ids);
-            Http.write(socket.getOutputStream(), head.toString(), new byte[0]);
-            InputStream in = new BufferedInputStream(socket.getInputStream(), 16 << 10);
+            Http.write(socket.getOutputStream(), heads.toString(), new byte[0]);
             long start = System.nanoTime();
             long received = 0;
             while (next < ids.size()) {
--- a/review/standins-2/MergedHeadCase.java
+++ b/review/standins-2/MergedHeadTrial.java
@@ -6,19 +6,19 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One answer in fifty is the start of a head with status 200, cut within a header, and behind it a
+ * A trial, not a case: one answer in fifty is the start of a head with status 200, cut within a header, and behind it a
  * second head whose status is none.
  */
-final class MergedHeadCase {
+final class MergedHeadTrial {
 
     private static final int REQUESTS = 1_500;
     private static final int SPOILT_ONE_IN = 50;
     private static final String[] SECOND_STATUS = {"0500", "20", "2000", "-1", "000", "500"};
 
-    private MergedHeadCase() {}
+    private MergedHeadTrial() {}
 
     public static void main(String[] args) {
-        Deployment.runCase(args, MergedHeadCase::run);
+        Deployment.runCase(args, MergedHeadTrial::run);
     }
 
     private static boolean run(Deployment deployment, boolean trouble) throws Exception {
--- a/review/standins-2/PipelineCase.java
+++ b/review/standins-2/PipelineCase.java
@@ -16,7 +16,7 @@
             DownloadClient.startDeployment(deployment);
             DownloadClient.Totals totals = new DownloadClient.Totals();
             DownloadClient.runAll(
-                    deployment, totals, trouble ? BURST_CLIENTS : CLIENTS, REQUESTS, LINK_BITS_PER_SECOND);
+                    deployment, totals, trouble ? BURST_CLIENTS : CLIENTS, REQUESTS, LINK_BITS_PER_SECOND, false);
             boolean broken = totals.foreign.get() > 0;
             String verdict = totals + "; MIXED " + (broken ? "is broken" : "holds");
             deployment.log.line(verdict);
